--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load and experiments."""
--- /dev/null
+++ b/bench/backend.py
@@ -0,0 +1,218 @@
+"""A stand-in backend server with slots, drain, cold start and shedding.
+
+It keeps a count of how often each idempotency key ran, so that a test can
+prove that none ran twice.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import random
+import signal
+from dataclasses import dataclass, field
+
+import uvloop
+
+from papayalock.node.http import Call, Reply, Server, ServerLimits
+from papayalock.wire import Headers, Pool, WireError, json_request
+
+MS = 1000  # milliseconds in a second
+LIMITS = ServerLimits(65536, 1 << 20, 4096)
+JSON: Headers = [(b'content-type', b'application/json')]
+SHED_HEADERS: Headers = [
+    *JSON,
+    (b'retry-after', b'1'),
+    (b'papayalock-outcome', b'103 SHED'),
+]
+
+
+@dataclass(slots=True)
+class Behaviour:
+    """How the stand-in answers; times in milliseconds."""
+
+    service_ms: float = 1.0
+    spread: float = 0.2
+    slots: int = 9
+    fail_percent: int = 0
+    shed: bool = True
+    history_bytes: int = 200_000
+    history_ms: float = 40.0
+    cold_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Tally:
+    """What the stand-in ran."""
+
+    served: int = 0
+    shed: int = 0
+    cancelled: int = 0
+    runs: dict[str, int] = field(default_factory=dict)
+
+
+class Backend:
+    """Handles calls and announces itself to its node."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        address: str,
+        node: str,
+        behaviour: Behaviour,
+        seed: int,
+    ) -> None:
+        """Keeps the identity; nothing runs yet."""
+        self.name = name
+        self.service = service
+        self.address = address
+        self.node = node
+        self.behaviour = behaviour
+        self.tally = Tally()
+        self.running = 0
+        self.draining = False
+        self._rng = random.Random(seed)
+        self._pool = Pool(500, 30_000, 4)
+        self._slots = asyncio.Semaphore(behaviour.slots)
+        self._orders = {
+            '/tally': self._tally,
+            '/drain': self._drain,
+            '/behaviour': self._behave,
+        }
+        self.server = Server(self.handle, LIMITS)
+
+    async def handle(self, call: Call, reply: Reply) -> None:
+        """Answers one call."""
+        path = call.target.split(b'?')[0].decode()
+        order = self._orders.get(path)
+        if order is not None:
+            await order(call)
+            reply.whole(200, JSON, self._state())
+        elif self.behaviour.shed and self._slots.locked():
+            self.tally.shed += 1
+            reply.whole(503, SHED_HEADERS, b'{}')
+        else:
+            await self._run(call, reply, path)
+
+    def _state(self) -> bytes:
+        tally = self.tally
+        state = {
+            'served': tally.served,
+            'shed': tally.shed,
+            'cancelled': tally.cancelled,
+            'runs': tally.runs,
+            'running': self.running,
+        }
+        return json.dumps(state).encode()
+
+    async def _tally(self, call: Call) -> None:
+        """Changes nothing; the answer tells the tally."""
+
+    async def _drain(self, call: Call) -> None:
+        self.draining = True
+        await self.announce()
+
+    async def _behave(self, call: Call) -> None:
+        for key, setting in json.loads(call.body).items():
+            setattr(self.behaviour, key, setting)
+
+    async def _run(self, call: Call, reply: Reply, path: str) -> None:
+        self.running += 1
+        try:
+            async with self._slots:
+                await self._answer(call, reply, path)
+        except asyncio.CancelledError:
+            self.tally.cancelled += 1
+            raise
+        finally:
+            self.running -= 1
+
+    async def _answer(self, call: Call, reply: Reply, path: str) -> None:
+        behaviour = self.behaviour
+        key = call.header(b'idempotency-key').decode()
+        if key:
+            self.tally.runs[key] = self.tally.runs.get(key, 0) + 1
+        history = path.endswith('/history')
+        mean = behaviour.history_ms if history else behaviour.service_ms
+        if mean:
+            await asyncio.sleep(
+                mean
+                * self._rng.uniform(1 - behaviour.spread, 1 + behaviour.spread)
+                / MS
+            )
+        self.tally.served += 1
+        if self._rng.randrange(100) < behaviour.fail_percent:
+            reply.whole(500, JSON, b'{"error":"stand-in fault"}')
+        elif history:
+            await self._stream(reply)
+        else:
+            body = {
+                'server': self.name,
+                'path': path,
+                'echo': call.header(b'x-echo').decode(),
+                'key': key,
+            }
+            reply.whole(200, JSON, json.dumps(body).encode())
+
+    async def _stream(self, reply: Reply) -> None:
+        reply.head(200, [(b'content-type', b'text/plain')], None)
+        left = self.behaviour.history_bytes
+        while left > 0:
+            size = min(left, 16384)
+            await reply.piece(b'h' * size)
+            left -= size
+        reply.end()
+
+    async def announce(self) -> None:
+        """Announces the server once."""
+        body = json.dumps(
+            {
+                'server': self.name,
+                'service': self.service,
+                'address': self.address,
+                'draining': self.draining,
+            }
+        ).encode()
+        req = json_request(b'POST', '/papayalock/announce', self.node, body)
+        with contextlib.suppress(WireError):
+            await self._pool.exchange(self.node, req, 500, 65536)
+
+    async def run(self, announce_ms: int) -> None:
+        """Serves and announces until SIGTERM."""
+        loop = asyncio.get_running_loop()
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        host, _, port = self.address.rpartition(':')
+        await loop.create_server(self.server.make_conn, host, int(port))
+        while not stop.is_set():
+            await self.announce()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(announce_ms / MS):
+                    await stop.wait()
+
+
+def main() -> None:
+    """Runs one stand-in backend server."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument('--name', required=True)
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--listen', required=True)
+    parser.add_argument('--node', required=True)
+    parser.add_argument(
+        '--behaviour', default='{}', help='JSON of the fields of Behaviour'
+    )
+    parser.add_argument('--announce-ms', type=int, default=500)
+    parser.add_argument('--seed', type=int, default=1)
+    args = parser.parse_args()
+    behaviour = Behaviour(**json.loads(args.behaviour))
+    backend = Backend(
+        args.name, args.service, args.listen, args.node, behaviour, args.seed
+    )
+    uvloop.install()
+    asyncio.run(backend.run(args.announce_ms))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/mesh.py
@@ -0,0 +1,273 @@
+"""Starts and stops the processes of a small mesh on loopback."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from urllib.request import urlopen
+
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+def free_port() -> int:
+    """Returns a port that nothing listens on now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
+def toml_text(document: Mapping[str, object]) -> str:
+    """Returns TOML for settings of plain values, lists and one level of tables."""
+    plain = [
+        f'{key} = {_inline(found)}'
+        for key, found in document.items()
+        if not isinstance(found, dict)
+    ]
+    for key, table in document.items():
+        if isinstance(table, dict):
+            plain.append(f'[{key}]')
+            plain.extend(
+                f'{name} = {_inline(found)}' for name, found in table.items()
+            )
+    return '\n'.join((*plain, ''))
+
+
+def _inline(found: object) -> str:
+    if isinstance(found, dict):
+        inner = ', '.join(
+            f'{key} = {_inline(one)}' for key, one in found.items()
+        )
+        return f'{{ {inner} }}'
+    if isinstance(found, list):
+        return f'[{", ".join(_inline(one) for one in found)}]'
+    return json.dumps(found)
+
+
+class Process:
+    """One started process and how to start it again."""
+
+    def __init__(self, name: str, command: list[str], log: Path) -> None:
+        """Starts the process."""
+        self.name = name
+        self._command = command
+        self._log = log
+        self.popen = self._start()
+
+    def _start(self) -> 'subprocess.Popen[bytes]':
+        env = {**os.environ, 'PYTHONPATH': str(ROOT)}
+        with self._log.open('ab') as opened:
+            return subprocess.Popen(
+                self._command, stdout=opened, stderr=opened, env=env, cwd=ROOT
+            )
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def terminate(self, timeout: float = 10.0) -> int:
+        """Asks the process to stop and returns its exit status."""
+        self.popen.terminate()
+        return self.popen.wait(timeout)
+
+    def freeze(self) -> None:
+        """Stops the process without ending it."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Lets a frozen process go on."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def restart(self) -> None:
+        """Starts the process again with the same command."""
+        self.popen = self._start()
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process runs."""
+        return self.popen.poll() is None
+
+    def rss_mb(self) -> float:
+        """Returns the resident memory in MB."""
+        for line in (
+            Path(f'/proc/{self.popen.pid}/status').read_text().splitlines()
+        ):
+            if line.startswith('VmRSS'):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
+    def cpu_s(self) -> float:
+        """Returns the processor time used so far in seconds."""
+        fields = (
+            Path(f'/proc/{self.popen.pid}/stat')
+            .read_text()
+            .rsplit(')', 1)[1]
+            .split()
+        )
+        return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
+
+
+class Mesh:
+    """Control VMs, nodes and stand-in backend servers of one run."""
+
+    def __init__(
+        self,
+        folder: Path,
+        zones: list[str],
+        *,
+        per_zone: int = 1,
+        settings: dict[str, dict[str, object]] | None = None,
+    ) -> None:
+        """Chooses addresses; nothing runs yet.
+
+        :param per_zone: control VMs in each availability zone
+        :param settings: sections laid over those of every process
+        """
+        self.folder = folder
+        self.zones = zones
+        self.settings = settings or {}
+        self.control: dict[str, Process] = {}
+        self.nodes: dict[str, Process] = {}
+        self.backends: dict[str, Process] = {}
+        self.node_address: dict[str, str] = {}
+        self.backend_address: dict[str, str] = {}
+        self.members = [
+            {
+                'name': f'control-{zone}-{number}',
+                'zone': zone,
+                'address': f'127.0.0.1:{free_port()}',
+                'voter': number == 0,
+            }
+            for zone in zones
+            for number in range(per_zone)
+        ]
+
+    def control_addresses(self, zone: str = '') -> list[str]:
+        """Returns the addresses of the control VMs, of one zone or of all."""
+        return [
+            str(one['address'])
+            for one in self.members
+            if zone in {'', one['zone']}
+        ]
+
+    def start_control(self) -> None:
+        """Starts every control VM."""
+        for member in self.members:
+            name = str(member['name'])
+            document = {
+                'role': 'control',
+                'name': name,
+                'zone': member['zone'],
+                'listen': member['address'],
+                'data': str(self.folder / name),
+                'control': {'members': self.members},
+                **self.settings,
+            }
+            self.control[name] = self._daemon(name, document)
+
+    def start_node(
+        self, name: str, zone: str, control: list[str] | None = None
+    ) -> str:
+        """Starts a node and returns its address."""
+        address = self.node_address.setdefault(name, f'127.0.0.1:{free_port()}')
+        document = {
+            'role': 'node',
+            'name': name,
+            'zone': zone,
+            'listen': address,
+            'control': {'addresses': control or self.control_addresses(zone)},
+            **self.settings,
+        }
+        self.nodes[name] = self._daemon(name, document)
+        return address
+
+    def start_backend(
+        self,
+        name: str,
+        service: str,
+        node: str,
+        seed: int = 1,
+        **behaviour: object,
+    ) -> str:
+        """Starts a stand-in backend server beside a node."""
+        address = self.backend_address.setdefault(
+            name, f'127.0.0.1:{free_port()}'
+        )
+        command = [
+            sys.executable,
+            '-m',
+            'bench.backend',
+            '--name',
+            name,
+            '--service',
+            service,
+            '--listen',
+            address,
+            '--node',
+            self.node_address[node],
+            '--behaviour',
+            json.dumps(behaviour),
+            '--seed',
+            str(seed),
+        ]
+        self.backends[name] = Process(
+            name, command, self.folder / f'{name}.log'
+        )
+        return address
+
+    def stop(self) -> None:
+        """Ends every process that this mesh started."""
+        for process in (
+            *self.backends.values(),
+            *self.nodes.values(),
+            *self.control.values(),
+        ):
+            if process.alive:
+                process.kill()
+
+    def _daemon(self, name: str, document: Mapping[str, object]) -> Process:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        path = self.folder / f'{name}.toml'
+        path.write_text(toml_text(document))
+        command = [
+            sys.executable,
+            '-m',
+            'papayalock.daemon',
+            '--config',
+            str(path),
+        ]
+        return Process(name, command, self.folder / f'{name}.log')
+
+
+def get_json(
+    address: str, path: str, timeout: float = 2.0
+) -> dict[str, object]:
+    """Returns the JSON answer of a GET."""
+    with urlopen(f'http://{address}{path}', timeout=timeout) as answer:
+        found: dict[str, object] = json.loads(answer.read())
+        return found
+
+
+def wait_until(
+    check: Callable[[], bool], what: str, timeout: float = START_TIMEOUT_S
+) -> float:
+    """Polls until a check holds and returns the seconds it took.
+
+    :raises TimeoutError: when it does not hold in time
+    """
+    started = time.monotonic()
+    while time.monotonic() - started < timeout:
+        try:
+            if check():
+                return time.monotonic() - started
+        except (OSError, KeyError, ValueError):
+            time.sleep(POLL_S)
+        time.sleep(POLL_S)
+    raise TimeoutError(what)
--- /dev/null
+++ b/papayalock/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution for a service mesh."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/papayalock/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command-line tool as ``python -m papayalock``."""
+
+import sys
+
+from papayalock.ui import main
+
+sys.exit(main())
--- /dev/null
+++ b/papayalock/commands.py
@@ -0,0 +1,51 @@
+"""The commands that replicated logs carry, and their JSON text."""
+
+import msgspec
+
+from papayalock.messages import (
+    Claim,
+    Finish,
+    Noop,
+    SetExistence,
+    SetMember,
+    Submit,
+)
+from papayalock.result import Code, PapayalockError
+
+Command = Claim | Finish | Noop | SetExistence | SetMember | Submit
+
+
+class _Kind(msgspec.Struct):
+    kind: str
+
+
+_TYPES: dict[str, type[Command]] = {
+    'claim': Claim,
+    'existence': SetExistence,
+    'finish': Finish,
+    'member': SetMember,
+    'noop': Noop,
+    'submit': Submit,
+}
+_KIND_DECODER = msgspec.json.Decoder(_Kind)
+_DECODERS = {
+    kind: msgspec.json.Decoder(command) for kind, command in _TYPES.items()
+}
+
+
+def encode_command(command: Command) -> str:
+    """Returns the JSON text of a command."""
+    return msgspec.json.encode(command).decode()
+
+
+def decode_command(payload: str) -> Command:
+    """Returns the command of a JSON text.
+
+    :raises PapayalockError: ``BAD_MESSAGE`` for an unknown kind or bad fields
+    """
+    try:
+        kind = _KIND_DECODER.decode(payload).kind
+        command: Command = _DECODERS[kind].decode(payload)
+    except (msgspec.MsgspecError, KeyError) as exc:
+        raise PapayalockError(Code.BAD_MESSAGE, f'command: {exc}') from exc
+    return command
--- /dev/null
+++ b/papayalock/config.py
@@ -0,0 +1,80 @@
+"""Loads and checks the settings of a daemon."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from papayalock.core.problems import Problems
+from papayalock.core.schema import check_document
+from papayalock.result import Code, SettingsError
+from papayalock.settings import Settings
+
+DEFAULTS = Path(__file__).with_name('defaults.toml')
+
+
+def load_settings(path: Path) -> Settings:
+    """Returns the settings of a file on top of the defaults.
+
+    :raises SettingsError: with every error found, one a line
+    """
+    try:
+        own = tomllib.loads(path.read_text())
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise SettingsError(Code.SETTINGS, f'{path}: {exc}') from exc
+    return make_settings(own)
+
+
+def make_settings(own: dict[str, Any]) -> Settings:
+    """Returns checked settings from a parsed document.
+
+    :raises SettingsError: with every error found, one a line
+    """
+    merged = _merge(tomllib.loads(DEFAULTS.read_text()), own)
+    problems = Problems()
+    settings = check_document(merged, Settings, problems)
+    if settings is not None:
+        _check_meaning(settings, problems)
+    if settings is None or problems.found:
+        lines = [f'{one.where}: {one.message}' for one in problems.found]
+        raise SettingsError(Code.SETTINGS, '; '.join(lines))
+    return settings
+
+
+def _merge(defaults: dict[str, Any], own: dict[str, Any]) -> dict[str, Any]:
+    merged = dict(defaults)
+    for key, setting in own.items():
+        known = merged.get(key)
+        if isinstance(known, dict) and isinstance(setting, dict):
+            merged[key] = _merge(known, setting)
+        else:
+            merged[key] = setting
+    return merged
+
+
+def _check_meaning(settings: Settings, problems: Problems) -> None:
+    if settings.role == 'control':
+        _check_control(settings, problems)
+    elif not settings.control.addresses:
+        problems.add(
+            Code.SETTINGS, 'control.addresses', 'a node needs a control VM'
+        )
+    if settings.membership.lease_ms <= 2 * settings.distribution.poll_ms:
+        problems.add(
+            Code.SETTINGS, 'membership.lease_ms', 'must exceed two polls'
+        )
+    if settings.group.election_ms < 4 * settings.group.tick_ms:
+        problems.add(
+            Code.SETTINGS, 'group.election_ms', 'must be four ticks or more'
+        )
+
+
+def _check_control(settings: Settings, problems: Problems) -> None:
+    if not settings.data:
+        problems.add(Code.SETTINGS, 'data', 'a control VM needs a data folder')
+    names = [one.name for one in settings.control.members]
+    if len(names) != len(set(names)):
+        problems.add(Code.SETTINGS, 'control.members', 'a name is used twice')
+    if not settings.control.join and settings.name not in names:
+        problems.add(
+            Code.SETTINGS, 'control.members', f'{settings.name} is missing'
+        )
--- /dev/null
+++ b/papayalock/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control VM: replicated log, distribution and audit."""
--- /dev/null
+++ b/papayalock/control/control.py
@@ -0,0 +1,259 @@
+"""One control VM: its groups, its zone and what only a leader does."""
+
+import asyncio
+import logging
+from typing import Any
+
+import msgspec
+
+from papayalock.commands import Command
+from papayalock.control.exchange import Exchange
+from papayalock.control.group import Group
+from papayalock.control.zone import Zone
+from papayalock.core.claims import Claims, shard_of
+from papayalock.core.ledger import Ledger
+from papayalock.core.membership import ExistenceTracker
+from papayalock.core.release import serves
+from papayalock.messages import (
+    Claim,
+    ClaimRes,
+    Finish,
+    SetExistence,
+    SetMember,
+    Submit,
+    SubmitRes,
+    ZoneReport,
+)
+from papayalock.ports import Clock
+from papayalock.result import Code, PapayalockError
+from papayalock.wire import Pool, Request, WireError, json_request
+
+log = logging.getLogger(__name__)
+
+CONFIG_GROUP = 'config'
+OK = 200
+BEAT_S = 0.1
+ASK_TIMEOUT_MS = 500
+FORWARD_TIMEOUT_MS = 5000
+MAX_ANSWER_BYTES = 1_048_576
+MS = 1000  # milliseconds in a second
+FENCE_POLL_S = 0.05
+
+
+def claims_group(shard: int) -> str:
+    """Returns the name of the group that holds a claims shard."""
+    return f'claims-{shard}'
+
+
+class ZoneAsker:
+    """Asks the other control VMs of a zone what they released."""
+
+    def __init__(self, own: str, pool: Pool) -> None:
+        """Starts without a group; the composition root sets it."""
+        self.group: Group | None = None
+        self._own = own
+        self._pool = pool
+
+    async def __call__(self, zone: str) -> list[ZoneReport]:
+        """Returns the reports of the control VMs that answered."""
+        if self.group is None:
+            return []
+        replica = self.group.replica
+        members = replica.log.view_at(replica.durable_commit).members
+        peers = [
+            one
+            for one in members
+            if one.member != self._own and serves(one, zone)
+        ]
+        answers = await asyncio.gather(
+            *(self._ask(one.address, zone) for one in peers)
+        )
+        return [answer for answer in answers if answer is not None]
+
+    async def _ask(self, address: str, zone: str) -> ZoneReport | None:
+        req = Request(
+            b'GET',
+            f'/v1/zone-report?zone={zone}'.encode(),
+            [(b'host', address.encode())],
+        )
+        try:
+            _, body = await self._pool.exchange(
+                address, req, ASK_TIMEOUT_MS, MAX_ANSWER_BYTES
+            )
+            return msgspec.json.decode(body, type=ZoneReport)
+        except (WireError, msgspec.MsgspecError):
+            return None
+
+
+class Control:
+    """Accepts commands on any control VM and carries out the leader's duties."""
+
+    def __init__(
+        self,
+        name: str,
+        groups: dict[str, Group],
+        ledger: Ledger,
+        claims: dict[str, Claims],
+        zone: Zone,
+        exchange: Exchange,
+        existence: ExistenceTracker,
+        pool: Pool,
+        clock: Clock,
+        addresses: dict[str, str],
+    ) -> None:
+        """Binds the parts; :meth:`run` does the periodic work."""
+        self.name = name
+        self.groups = groups
+        self.ledger = ledger
+        self.claims = claims
+        self.zone = zone
+        self._exchange = exchange
+        self._existence = existence
+        self._pool = pool
+        self._clock = clock
+        self._addresses = addresses
+
+    @property
+    def config(self) -> Group:
+        """The group that holds versions and members."""
+        return self.groups[CONFIG_GROUP]
+
+    def now(self) -> float:
+        """Returns monotonic seconds of this VM's clock."""
+        return self._clock.monotonic()
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        while True:
+            await asyncio.sleep(BEAT_S)
+            self._follow_members()
+            self.zone.expire()
+            self._exchange.drop_orphans()
+            await self._decide_existence()
+
+    async def submit(self, command: Submit) -> SubmitRes:
+        """Commits a submission, wherever the leader is.
+
+        :raises PapayalockError: when no leader answered; the submission may
+            have been accepted, so the sender repeats it with its request id
+        """
+        answer = await self._commit(CONFIG_GROUP, command, '/v1/submit')
+        return msgspec.convert(answer, SubmitRes)
+
+    async def change_member(self, command: SetMember) -> SubmitRes:
+        """Commits a change of the control VMs.
+
+        :raises PapayalockError: when no leader answered, or it refused
+        """
+        answer = await self._commit(CONFIG_GROUP, command, '/v1/member')
+        return msgspec.convert(answer, SubmitRes)
+
+    async def claim(self, command: Claim | Finish) -> ClaimRes:
+        """Commits a claim or an outcome in the shard of its key.
+
+        :raises PapayalockError: when no leader of the shard answered
+        """
+        group = claims_group(shard_of(command.key, len(self.claims)))
+        path = '/v1/claim' if isinstance(command, Claim) else '/v1/finish'
+        answer = await self._commit(group, command, path)
+        return msgspec.convert(answer, ClaimRes)
+
+    async def _commit(self, name: str, command: Command, path: str) -> Any:
+        group = self.groups[name]
+        if group.replica.is_leader:
+            if isinstance(command, SetMember):
+                return await self._change_member(command)
+            return await group.propose(command)
+        return await self._forward(group, command, path)
+
+    async def _forward(self, group: Group, command: Command, path: str) -> Any:
+        leader = group.replica.leader
+        address = self._addresses.get(leader)
+        if address is None or leader == self.name:
+            raise PapayalockError(Code.NO_LEADER, 'no leader is known')
+        req = json_request(
+            b'POST', f'{path}?hop=1', address, msgspec.json.encode(command)
+        )
+        try:
+            status, body = await self._pool.exchange(
+                address, req, FORWARD_TIMEOUT_MS, MAX_ANSWER_BYTES
+            )
+        except WireError as exc:
+            raise PapayalockError(
+                Code.NO_LEADER, f'leader {leader} does not answer: {exc}'
+            ) from exc
+        answer = msgspec.json.decode(body)
+        if status != OK:
+            raise PapayalockError(Code(answer['code']), answer['message'])
+        return answer
+
+    async def _change_member(self, command: SetMember) -> Any:
+        """Proposes a change once it is allowed and no lease speaks against it."""
+        replica = self.config.replica
+        name = command.member.member
+        self._check_member_change(command)
+        if command.action not in {'fence', 'remove'}:
+            return await self.config.propose(command)
+        replica.stop_leases(name)
+        try:
+            while self._clock.monotonic() < replica.fence_allowed_at(name):
+                await asyncio.sleep(FENCE_POLL_S)
+            return await self.config.propose(command)
+        finally:
+            replica.resume_leases(name)
+
+    def _check_member_change(self, command: SetMember) -> None:
+        replica = self.config.replica
+        name = command.member.member
+        members = replica.log.members
+        if command.action != 'add' and all(
+            one.member != name for one in members
+        ):
+            raise PapayalockError(Code.UNKNOWN_MEMBER, name)
+        if not replica.change_allowed():
+            raise PapayalockError(
+                Code.CHANGE_PENDING, 'another member change is under way'
+            )
+        if command.action == 'promote':
+            self._check_caught_up(name)
+        for zone in command.member.adopts if command.action == 'adopt' else ():
+            serving = [one.member for one in members if serves(one, zone)]
+            if serving:
+                raise PapayalockError(
+                    Code.LEASE_RUNNING,
+                    f'{zone} is served by {", ".join(serving)}',
+                )
+
+    def _check_caught_up(self, member: str) -> None:
+        replica = self.config.replica
+        progress = replica.peers.get(member)
+        if progress is None or progress.commit < replica.commit:
+            raise PapayalockError(
+                Code.CHANGE_PENDING, f'{member} has not caught up'
+            )
+
+    def _follow_members(self) -> None:
+        members = self.config.replica.log.members
+        for one in members:
+            self._addresses[one.member] = one.address
+        self._exchange.follow({one.member: one.address for one in members})
+
+    async def _decide_existence(self) -> None:
+        group = self.config
+        if not group.replica.is_leader:
+            self._existence.reset()
+            return
+        announced = {one.service for one in self.zone.table.endpoints()}
+        now = self._clock.monotonic()
+        services = self._existence.decide(self.ledger.existing, announced, now)
+        if services == self.ledger.existing:
+            return
+        try:
+            await group.propose(
+                SetExistence(kind='existence', services=services)
+            )
+        except PapayalockError as exc:
+            log.warning(
+                'existence not recorded',
+                extra={'code': exc.code, 'reason': str(exc)},
+            )
--- /dev/null
+++ b/papayalock/control/main.py
@@ -0,0 +1,209 @@
+"""Wires and runs a control VM."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import secrets
+from pathlib import Path
+
+import uvicorn
+from aioprometheus import Registry
+
+from papayalock.clock import SystemClock
+from papayalock.control.control import (
+    CONFIG_GROUP,
+    Control,
+    ZoneAsker,
+    claims_group,
+)
+from papayalock.control.disk import FileDisk
+from papayalock.control.exchange import Exchange
+from papayalock.control.group import Group, Machine
+from papayalock.control.journal import Journal
+from papayalock.control.peers import PeerLinks
+from papayalock.control.server import ControlServer
+from papayalock.control.status import StatusReader
+from papayalock.control.storage import GroupStorage
+from papayalock.control.zone import Zone
+from papayalock.core.claims import Claims
+from papayalock.core.distribute import Admission
+from papayalock.core.ledger import Ledger
+from papayalock.core.membership import EndpointTable, ExistenceTracker
+from papayalock.core.replog import Replica, ReplicaConfig
+from papayalock.messages import Member
+from papayalock.settings import Settings
+from papayalock.wire import Pool
+
+log = logging.getLogger(__name__)
+
+CONNECT_MS = 300
+IDLE_MS = 30_000
+POOLED_PER_ADDRESS = 8
+EPOCH_BYTES = 6
+STOP_S = 1  # longest wait for polls at a planned stop
+
+
+class ControlVm:
+    """The parts of one control VM, wired together."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Builds the parts from what the data folder holds.
+
+        :raises StorageError: when the data folder is damaged
+        """
+        self._settings = settings
+        self._clock = SystemClock()
+        self._rng = random.Random()
+        self._disk = FileDisk(Path(settings.data))
+        self._members = [
+            Member(
+                member=one.name,
+                zone=one.zone,
+                address=one.address,
+                voter=one.voter,
+            )
+            for one in settings.control.members
+        ]
+        addresses = {one.member: one.address for one in self._members}
+        self.links = PeerLinks(addresses)
+        self.pool = Pool(CONNECT_MS, IDLE_MS, POOLED_PER_ADDRESS)
+        ledger = Ledger(
+            history=settings.distribution.history,
+            audit_records=settings.audit.retention_records,
+        )
+        shards = [
+            claims_group(shard) for shard in range(settings.claims.shards)
+        ]
+        claims = {name: Claims(settings.claims.retention_ms) for name in shards}
+        self.groups = {CONFIG_GROUP: self._group(CONFIG_GROUP, ledger)}
+        self.groups.update(
+            (name, self._group(name, machine))
+            for name, machine in claims.items()
+        )
+        self.journal = Journal(
+            self._disk,
+            self._clock,
+            settings.audit.held_records,
+            settings.audit.late_ms,
+        )
+        zone = self._zone(ledger)
+        exchange = Exchange(
+            settings.name,
+            zone,
+            self.pool,
+            self._clock,
+            settings.membership.orphan_ms,
+        )
+        membership = settings.membership
+        existence = ExistenceTracker(
+            membership.appear_ms, membership.withdraw_ms
+        )
+        self.control = Control(
+            settings.name,
+            self.groups,
+            ledger,
+            claims,
+            zone,
+            exchange,
+            existence,
+            self.pool,
+            self._clock,
+            addresses,
+        )
+        self.server = ControlServer(
+            self.control, StatusReader(self.control, settings.zone), Registry()
+        )
+
+    async def run(self) -> None:
+        """Serves until a signal stops it."""
+        tasks = [
+            asyncio.create_task(group.run()) for group in self.groups.values()
+        ]
+        tasks.append(asyncio.create_task(self.control.run()))
+        tasks.append(asyncio.create_task(self.journal.run()))
+        for task in tasks:
+            task.add_done_callback(_report_end)
+        host, _, port = self._settings.listen.rpartition(':')
+        cfg = uvicorn.Config(
+            self.server.app,
+            host=host,
+            port=int(port),
+            log_config=None,
+            access_log=False,
+            timeout_graceful_shutdown=STOP_S,
+            timeout_keep_alive=60,
+            ws='none',
+            http='httptools',
+        )
+        await uvicorn.Server(cfg).serve()
+        for task in tasks:
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*tasks)
+        self.links.close()
+        self.pool.close()
+        self.journal.flush()
+
+    def _group(self, name: str, machine: Machine) -> Group:
+        cfg = self._settings.group
+        storage = GroupStorage(self._disk, name)
+        first = [] if self._settings.control.join else self._members
+        restored = storage.load(first)
+        replica_cfg = ReplicaConfig(
+            name,
+            self._settings.name,
+            tick_ms=cfg.tick_ms,
+            election_ms=cfg.election_ms,
+            lease_ms=cfg.lease_ms,
+            drift_percent=cfg.drift_percent,
+            append_entries=cfg.append_entries,
+        )
+        replica = Replica(
+            replica_cfg, restored, self._rng, self._clock.monotonic()
+        )
+        return Group(
+            replica,
+            storage,
+            machine,
+            self.links,
+            self._clock,
+            cfg.snapshot_entries,
+        )
+
+    def _zone(self, ledger: Ledger) -> Zone:
+        settings = self._settings
+        distribution = settings.distribution
+        asker = ZoneAsker(settings.name, self.pool)
+        asker.group = self.groups[CONFIG_GROUP]
+        now = self._clock.monotonic()
+        return Zone(
+            settings.zone,
+            self.groups[CONFIG_GROUP],
+            ledger,
+            EndpointTable(
+                secrets.token_hex(EPOCH_BYTES),
+                settings.name,
+                settings.membership.lease_ms,
+            ),
+            self.journal,
+            Admission(
+                distribution.snapshots_per_s,
+                distribution.retry_after_ms,
+                self._rng,
+                now,
+            ),
+            self._clock,
+            distribution.coalesce_ms,
+            asker,
+        )
+
+
+def _report_end(task: 'asyncio.Task[None]') -> None:
+    if not task.cancelled() and task.exception() is not None:
+        log.critical('task ended', exc_info=task.exception())
+
+
+async def run_control(settings: Settings) -> None:
+    """Runs a control VM until it is stopped."""
+    await ControlVm(settings).run()
--- /dev/null
+++ b/papayalock/control/server.py
@@ -0,0 +1,213 @@
+"""The HTTP interface of a control VM, for nodes, peers and operators."""
+
+import functools
+import logging
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import msgspec
+from aioprometheus import Counter, Gauge, Registry, render
+from blacksheep import Application, Content, Request, Response
+from blacksheep.server.routing import Router
+
+from papayalock.control.control import CONFIG_GROUP, Control
+from papayalock.control.status import StatusReader
+from papayalock.messages import (
+    Claim,
+    ErrorBody,
+    Finish,
+    PeerMessage,
+    SetMember,
+    Submit,
+    SyncReq,
+)
+from papayalock.result import Code, PapayalockError
+
+log = logging.getLogger(__name__)
+
+MS = 1000  # milliseconds in a second
+PREFIX = '/v1/'
+MAX_BODY_BYTES = 67_108_864
+MAX_WAIT_MS = 60_000
+Message = TypeVar('Message')
+Handler = Callable[[Request], Awaitable[Response]]
+OK = 200
+UNAVAILABLE = 503
+STATUS = {
+    Code.BAD_MESSAGE: 400,
+    Code.MESSAGE_TOO_LARGE: 413,
+    Code.UNKNOWN_VERSION: 404,
+    Code.UNKNOWN_MEMBER: 404,
+    Code.UNKNOWN_NODE: 404,
+    Code.CONFLICT: 409,
+    Code.CHANGE_PENDING: 409,
+    Code.DISK_FULL: 507,
+}
+
+
+def json_response(body: object, status: int = OK) -> Response:
+    """Returns a response with a JSON body."""
+    return Response(
+        status, None, Content(b'application/json', msgspec.json.encode(body))
+    )
+
+
+def refusal(exc: PapayalockError) -> Response:
+    """Returns the response for a numbered error."""
+    body = ErrorBody(
+        code=exc.code, name=exc.code.name, message=str(exc.args[0])
+    )
+    return json_response(body, STATUS.get(exc.code, UNAVAILABLE))
+
+
+class ControlServer:
+    """Routes requests to the control VM's parts."""
+
+    def __init__(
+        self, control: Control, status: StatusReader, registry: Registry
+    ) -> None:
+        """Builds the application; it is served by the composition root."""
+        self._control = control
+        self._status = status
+        self._registry = registry
+        self._requests = Counter(
+            'papayalock_requests_total', 'Requests by path', registry=registry
+        )
+        self._gauges = Gauge(
+            'papayalock_state', 'State of this control VM', registry=registry
+        )
+        self._peer_decoder = msgspec.json.Decoder(list[PeerMessage])
+        self._sync_decoder = msgspec.json.Decoder(SyncReq)
+        self.app = self._build()
+
+    def _build(self) -> Application:
+        router = Router()
+        posts: dict[str, Handler] = {
+            '/v1/sync': self._sync,
+            '/v1/peer': self._peer,
+            '/v1/submit': self._submit,
+            '/v1/member': self._member,
+            '/v1/claim': self._claim,
+            '/v1/finish': self._finish,
+        }
+        reading = [f'{PREFIX}{name}' for name in self._status.readers]
+        gets: dict[str, Handler] = {
+            '/v1/endpoints': self._endpoints,
+            '/v1/zone-report': self._zone_report,
+            '/v1/metrics': self._metrics,
+            **dict.fromkeys(reading, self._read),
+        }
+        for path, handler in posts.items():
+            router.add_post(path, self._guarded(handler))
+        for path, handler in gets.items():
+            router.add_get(path, self._guarded(handler))
+        return Application(router=router)
+
+    def _guarded(self, handler: Handler) -> Handler:
+        return functools.partial(self._guard, handler)
+
+    async def _guard(self, handler: Handler, request: Request) -> Response:
+        self._requests.inc({'path': request.path})
+        try:
+            return await handler(request)
+        except PapayalockError as exc:
+            return refusal(exc)
+
+    async def _decode(
+        self, request: Request, decoder: 'msgspec.json.Decoder[Message]'
+    ) -> Message:
+        length = request.get_first_header(b'content-length')
+        if length is not None and int(length) > MAX_BODY_BYTES:
+            raise PapayalockError(
+                Code.MESSAGE_TOO_LARGE, f'body over {MAX_BODY_BYTES} bytes'
+            )
+        body = await request.read() or b''
+        try:
+            return decoder.decode(body)
+        except msgspec.MsgspecError as exc:
+            raise PapayalockError(Code.BAD_MESSAGE, str(exc)) from exc
+
+    async def _sync(self, request: Request) -> Response:
+        req = await self._decode(request, self._sync_decoder)
+        return json_response(await self._control.zone.sync(req))
+
+    async def _peer(self, request: Request) -> Response:
+        for message in await self._decode(request, self._peer_decoder):
+            group = self._control.groups.get(message.group)
+            if group is not None:
+                group.deliver(message)
+        return Response(OK)
+
+    async def _submit(self, request: Request) -> Response:
+        command = await self._decode(request, msgspec.json.Decoder(Submit))
+        return json_response(await self._control.submit(command))
+
+    async def _member(self, request: Request) -> Response:
+        command = await self._decode(request, msgspec.json.Decoder(SetMember))
+        return json_response(await self._control.change_member(command))
+
+    async def _claim(self, request: Request) -> Response:
+        command = await self._decode(request, msgspec.json.Decoder(Claim))
+        return json_response(await self._control.claim(command))
+
+    async def _finish(self, request: Request) -> Response:
+        command = await self._decode(request, msgspec.json.Decoder(Finish))
+        return json_response(await self._control.claim(command))
+
+    async def _endpoints(self, request: Request) -> Response:
+        query = Query(request)
+        zone = self._control.zone
+        epoch = query.text('epoch')
+        cursor = query.number('cursor')
+        delta = zone.table.delta(epoch, cursor, lambda _: True)
+        if delta is None:
+            await zone.wait(min(query.number('wait_ms'), MAX_WAIT_MS) / MS)
+            delta = zone.table.delta(epoch, cursor, lambda _: True)
+        return Response(OK) if delta is None else json_response(delta)
+
+    async def _zone_report(self, request: Request) -> Response:
+        return json_response(
+            self._control.zone.report(Query(request).text('zone'))
+        )
+
+    async def _metrics(self, request: Request) -> Response:
+        replica = self._control.groups[CONFIG_GROUP].replica
+        self._gauges.set({'what': 'version'}, self._control.ledger.version)
+        self._gauges.set({'what': 'commit'}, replica.commit)
+        self._gauges.set({'what': 'leader'}, int(replica.is_leader))
+        self._gauges.set({'what': 'nodes'}, len(self._control.zone.attached))
+        self._gauges.set({'what': 'servers'}, len(self._control.zone.table))
+        self._gauges.set(
+            {'what': 'disk_full'}, int(self._control.config.disk_full)
+        )
+        text, _ = render(self._registry, [])
+        return Response(OK, None, Content(b'text/plain', text))
+
+    async def _read(self, request: Request) -> Response:
+        reader = self._status.readers[request.path.removeprefix(PREFIX)]
+        query = {key: found[0] for key, found in request.query.items()}
+        return json_response(reader(query))
+
+
+class Query:
+    """The query of a request, with checked types."""
+
+    def __init__(self, request: Request) -> None:
+        """Keeps the first value of each key."""
+        self._fields: dict[str, str] = {
+            key: found[0] for key, found in request.query.items()
+        }
+
+    def text(self, key: str) -> str:
+        """Returns a text; '' when it is missing."""
+        return self._fields.get(key, '')
+
+    def number(self, key: str) -> int:
+        """Returns a number; 0 when it is missing.
+
+        :raises PapayalockError: ``BAD_MESSAGE`` when it is no number
+        """
+        text = self._fields.get(key, '0')
+        if not text.isdigit():
+            raise PapayalockError(Code.BAD_MESSAGE, f'{key} is no number')
+        return int(text)
--- /dev/null
+++ b/papayalock/control/storage.py
@@ -0,0 +1,139 @@
+"""The durable part of one replica: hard state, log and snapshot."""
+
+import msgspec
+
+from papayalock.control.frames import decode_frames, encode_frame
+from papayalock.core.replog import Effects, HardState, Restored
+from papayalock.messages import Entry, Member, Snapshot
+from papayalock.ports import Disk
+from papayalock.result import Code, StorageError
+
+
+class Batch(msgspec.Struct, omit_defaults=True):
+    """One synced write: hard state, a truncation and new entries."""
+
+    term: int = -1
+    vote: str = ''
+    commit: int = 0
+    truncate_from: int = 0
+    entries: list[Entry] = msgspec.field(default_factory=list)
+
+
+_BATCH = msgspec.json.Decoder(Batch)
+_SNAPSHOT = msgspec.json.Decoder(Snapshot)
+
+
+class GroupStorage:
+    """Files of one group; every save is durable when it returns."""
+
+    def __init__(self, disk: Disk, group: str) -> None:
+        """Names the files after the group."""
+        self._disk = disk
+        self._log = f'{group}.log'
+        self._snapshot = f'{group}.snapshot'
+        self._size = 0
+        self._hard = HardState()
+
+    def load(self, members: list[Member]) -> Restored:
+        """Returns what the disk holds, after cutting a torn tail.
+
+        :param members: the first member set, for a group without a snapshot
+        :raises StorageError: when the files are damaged
+        """
+        snapshot = self._load_snapshot(members)
+        log = self._disk.read(self._log) or b''
+        frames = decode_frames(self._log, log)
+        if frames.size < len(log):
+            self._disk.truncate(self._log, frames.size)
+        self._size = frames.size
+        entries = self._replay(
+            [_decode(self._log, one) for one in frames.payloads], snapshot
+        )
+        return Restored(self._hard, snapshot, entries)
+
+    def save(self, effects: Effects) -> None:
+        """Makes the effects durable.
+
+        :raises OSError: when the disk refuses; the save may be tried again
+        """
+        if effects.hard is not None:
+            self._hard = effects.hard
+        if effects.installed is not None:
+            self.save_snapshot(effects.installed, effects.entries)
+            return
+        batch = self._batch(effects.entries)
+        batch.truncate_from = effects.truncate_from
+        frame = encode_frame(msgspec.json.encode(batch))
+        try:
+            self._disk.append(self._log, frame)
+        except OSError:
+            self._cut_partial()
+            raise
+        self._size += len(frame)
+
+    def save_snapshot(self, snapshot: Snapshot, entries: list[Entry]) -> None:
+        """Replaces the log by a snapshot and the entries after it."""
+        self._disk.replace(
+            self._snapshot, encode_frame(msgspec.json.encode(snapshot))
+        )
+        frame = encode_frame(msgspec.json.encode(self._batch(entries)))
+        self._disk.replace(self._log, frame)
+        self._size = len(frame)
+
+    def _batch(self, entries: list[Entry]) -> Batch:
+        hard = self._hard
+        return Batch(
+            term=hard.term, vote=hard.vote, commit=hard.commit, entries=entries
+        )
+
+    def _cut_partial(self) -> None:
+        try:
+            self._disk.truncate(self._log, self._size)
+        except OSError:
+            return
+
+    def _load_snapshot(self, members: list[Member]) -> Snapshot:
+        data = self._disk.read(self._snapshot)
+        if data is None:
+            return Snapshot(index=0, term=0, members=members, state='')
+        frames = decode_frames(self._snapshot, data)
+        if len(frames.payloads) != 1:
+            raise StorageError(
+                Code.DATA_DAMAGED, f'{self._snapshot}: no whole snapshot'
+            )
+        try:
+            return _SNAPSHOT.decode(frames.payloads[0])
+        except msgspec.MsgspecError as exc:
+            raise StorageError(
+                Code.DATA_FORMAT, f'{self._snapshot}: {exc}'
+            ) from exc
+
+    def _replay(self, batches: list[Batch], snapshot: Snapshot) -> list[Entry]:
+        entries: dict[int, Entry] = {}
+        for batch in batches:
+            self._hard = HardState(batch.term, batch.vote, batch.commit)
+            if batch.truncate_from:
+                entries = {
+                    index: one
+                    for index, one in entries.items()
+                    if index < batch.truncate_from
+                }
+            entries.update((one.index, one) for one in batch.entries)
+        kept = [
+            entries[index]
+            for index in sorted(entries)
+            if index > snapshot.index
+        ]
+        for offset, entry in enumerate(kept, start=snapshot.index + 1):
+            if entry.index != offset:
+                raise StorageError(
+                    Code.DATA_DAMAGED, f'{self._log}: entry {offset} is missing'
+                )
+        return kept
+
+
+def _decode(name: str, payload: bytes) -> Batch:
+    try:
+        return _BATCH.decode(payload)
+    except msgspec.MsgspecError as exc:
+        raise StorageError(Code.DATA_FORMAT, f'{name}: {exc}') from exc
--- /dev/null
+++ b/papayalock/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O: each module is a state machine driven by its caller."""
--- /dev/null
+++ b/papayalock/core/apply.py
@@ -0,0 +1,96 @@
+"""A node's applied configuration: replaced as a whole and never by an older one."""
+
+from dataclasses import dataclass
+
+from papayalock.core.derive import Manifest, manifest_digest, part_digest
+from papayalock.messages import Delta, Part
+from papayalock.result import Code
+
+
+@dataclass(slots=True, frozen=True)
+class Applied:
+    """The version is now in force."""
+
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class Ignored:
+    """The delta is older than, or equal to, what is in force."""
+
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class Rejected:
+    """The delta cannot be applied; the configuration in force is unchanged."""
+
+    version: int
+    code: Code
+    reason: str
+
+
+ApplyOutcome = Applied | Ignored | Rejected
+
+
+class Configuration:
+    """The parts in force on one node and the version that they form."""
+
+    __slots__ = ('digest', 'manifest', 'parts', 'version')
+
+    def __init__(self) -> None:
+        """Starts with nothing in force, which is version 0."""
+        self.version = 0
+        self.digest = ''
+        self.parts: dict[str, Part] = {}
+        self.manifest: Manifest = {}
+
+    def apply(self, delta: Delta) -> ApplyOutcome:
+        """Puts a delta in force as a whole, or leaves everything as it was.
+
+        A delta of the version in force may still widen the node's scope.
+        """
+        if self._is_old(delta):
+            return Ignored(delta.version)
+        if delta.base and delta.base != self.version:
+            return Rejected(
+                delta.version,
+                Code.WRONG_BASE,
+                f'based on {delta.base}, holds {self.version}',
+            )
+        parts = self._merged(delta)
+        manifest = {name: part_digest(part) for name, part in parts.items()}
+        if manifest_digest(manifest) != delta.digest:
+            return Rejected(
+                delta.version, Code.WRONG_DIGEST, 'manifest digest differs'
+            )
+        fault = dangling_route(parts)
+        if fault:
+            return Rejected(delta.version, Code.DANGLING_ROUTE, fault)
+        self.parts = parts
+        self.manifest = manifest
+        self.digest = delta.digest
+        self.version = delta.version
+        return Applied(delta.version)
+
+    def _is_old(self, delta: Delta) -> bool:
+        if delta.version == self.version:
+            return delta.digest == self.digest
+        return delta.version < self.version
+
+    def _merged(self, delta: Delta) -> dict[str, Part]:
+        parts = dict(self.parts) if delta.base else {}
+        for name in delta.removed:
+            parts.pop(name, None)
+        for part in delta.parts:
+            parts[part.service] = part
+        return parts
+
+
+def dangling_route(parts: dict[str, Part]) -> str:
+    """Returns a description of the first route without its resource, or ''."""
+    for part in parts.values():
+        for route in part.routes:
+            if route.cluster not in parts:
+                return f'route {part.service}.{route.operation} needs {route.cluster}'
+    return ''
--- /dev/null
+++ b/papayalock/core/audit.py
@@ -0,0 +1,209 @@
+"""The hash-chained audit trail and the journal of what held where."""
+
+import bisect
+import hashlib
+from collections.abc import Callable, Iterable
+from typing import Literal
+
+import msgspec
+
+from papayalock.messages import AuditRecord, HeldAnswer, HeldRecord
+from papayalock.result import Code
+
+DIGEST_BYTES = 32
+HeldKind = Literal['release', 'complete', 'attach', 'detach', 'late', 'outage']
+
+
+def record_digest(record: AuditRecord) -> str:
+    """Returns the digest that chains a record to its predecessor."""
+    fields = [
+        record.index,
+        record.at_ms,
+        record.kind,
+        record.version,
+        record.operator,
+        record.detail,
+        record.previous,
+    ]
+    encoded = msgspec.json.encode(fields)
+    return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def verify_chain(records: Iterable[AuditRecord]) -> AuditRecord | None:
+    """Returns the first record that breaks the chain, or None when it is whole."""
+    previous: str | None = None
+    for record in records:
+        if previous is not None and record.previous != previous:
+            return record
+        if record_digest(record) != record.digest:
+            return record
+        previous = record.digest
+    return None
+
+
+class AuditTrail:
+    """The newest records of the trail."""
+
+    __slots__ = ('_keep', 'records')
+
+    def __init__(self, keep: int) -> None:
+        """Starts empty.
+
+        :param keep: records kept; the oldest are dropped first
+        """
+        self.records: list[AuditRecord] = []
+        self._keep = keep
+
+    def add(
+        self,
+        index: int,
+        at_ms: int,
+        kind: str,
+        version: int,
+        operator: str,
+        detail: str,
+    ) -> None:
+        """Appends a record chained to the newest one."""
+        previous = self.records[-1].digest if self.records else ''
+        record = AuditRecord(
+            index=index,
+            at_ms=at_ms,
+            kind=kind,
+            version=version,
+            operator=operator,
+            detail=detail,
+            previous=previous,
+            digest='',
+        )
+        record.digest = record_digest(record)
+        self.records.append(record)
+        if len(self.records) > self._keep:
+            del self.records[0]
+
+
+class HeldJournal:
+    """What the nodes attached to one control VM held, by time.
+
+    Only releases into the zone, the moment each was confirmed by all attached
+    nodes, and the nodes that were late or came and went are recorded. Between
+    a release and its completion a node that was not late may have held either
+    version.
+    """
+
+    def __init__(
+        self, keep: int, late_ms: int, record: Callable[[HeldRecord], None]
+    ) -> None:
+        """Starts empty.
+
+        :param keep: records kept in memory
+        :param late_ms: delay after which a node's own apply time is recorded
+        :param record: called with each new record, to make it durable
+        """
+        self.records: list[HeldRecord] = []
+        self._keep = keep
+        self._late_ms = late_ms
+        self._record = record
+        self._released_at: dict[int, int] = {}
+        self._nodes: dict[str, int] = {}
+        self._completed = 0
+
+    def restore(self, records: list[HeldRecord]) -> None:
+        """Takes over what the disk held."""
+        self.records = records[-self._keep :]
+        for record in self.records:
+            if record.kind == 'release':
+                self._released_at[record.version] = record.at_ms
+            elif record.kind == 'complete':
+                self._completed = max(self._completed, record.version)
+
+    def released(self, version: int, now_ms: int) -> None:
+        """Notes that a version was released to the attached nodes."""
+        if version in self._released_at:
+            return
+        self._released_at[version] = now_ms
+        self._add('release', '', version, now_ms)
+        self._check_complete(now_ms)
+
+    def applied(self, node: str, version: int, now_ms: int) -> None:
+        """Notes the version that a node reports as applied."""
+        known = self._nodes.get(node)
+        if known == version:
+            return
+        self._nodes[node] = version
+        if known is None:
+            self._add('attach', node, version, now_ms)
+        elif self._is_late(version, now_ms):
+            self._add('late', node, version, now_ms)
+        self._check_complete(now_ms)
+
+    def detached(self, node: str, now_ms: int) -> None:
+        """Notes that a node no longer reports."""
+        version = self._nodes.pop(node, None)
+        if version is not None:
+            self._add('detach', node, version, now_ms)
+            self._check_complete(now_ms)
+
+    def held(self, node: str, at_ms: int) -> HeldAnswer:
+        """Returns what a node held at a time, or that it cannot be known."""
+        position = bisect.bisect_right(
+            self.records, at_ms, key=lambda one: one.at_ms
+        )
+        past = self.records[:position]
+        own = [one for one in past if one.subject == node]
+        if not own or own[-1].kind == 'detach':
+            return _unknown(node, at_ms, 'it did not report to this control VM')
+        since = [one for one in past if one.at_ms >= own[-1].at_ms]
+        if any(one.kind == 'outage' for one in since):
+            return _unknown(node, at_ms, 'the control VM was down')
+        low = max(own[-1].version, _newest(since, 'complete'))
+        high = max(low, _newest(past, 'release'))
+        late = self._next_late(node, position)
+        if late is not None:
+            high = max(low, min(high, late.version - 1))
+        answer = HeldAnswer(code=Code.DONE, node=node, at_ms=at_ms)
+        answer.low = low
+        answer.high = high
+        answer.reason = '' if low == high else 'a release was under way'
+        return answer
+
+    def _next_late(self, node: str, position: int) -> HeldRecord | None:
+        """Returns the node's next record if it is that of a late apply."""
+        later = (one for one in self.records[position:] if one.subject == node)
+        following = next(later, None)
+        if following is None or following.kind != 'late':
+            return None
+        return following
+
+    def _is_late(self, version: int, now_ms: int) -> bool:
+        released_at = self._released_at.get(version)
+        return released_at is None or now_ms - released_at > self._late_ms
+
+    def _check_complete(self, now_ms: int) -> None:
+        newest = max(self._released_at, default=0)
+        if newest <= self._completed or not self._nodes:
+            return
+        if all(version >= newest for version in self._nodes.values()):
+            self._completed = newest
+            self._add('complete', '', newest, now_ms)
+
+    def _add(
+        self, kind: HeldKind, subject: str, version: int, now_ms: int
+    ) -> None:
+        record = HeldRecord(
+            at_ms=now_ms, kind=kind, subject=subject, version=version
+        )
+        self.records.append(record)
+        if len(self.records) > self._keep:
+            del self.records[: len(self.records) - self._keep]
+        self._record(record)
+
+
+def _unknown(node: str, at_ms: int, reason: str) -> HeldAnswer:
+    return HeldAnswer(
+        code=Code.CANNOT_KNOW, node=node, at_ms=at_ms, reason=reason
+    )
+
+
+def _newest(records: list[HeldRecord], kind: HeldKind) -> int:
+    versions = [one.version for one in records if one.kind == kind]
+    return max(versions, default=0)
--- /dev/null
+++ b/papayalock/core/derive.py
@@ -0,0 +1,97 @@
+"""Derives what each node does from the inventory and the existing services."""
+
+import hashlib
+from collections.abc import Iterable
+
+import msgspec
+
+from papayalock.core.inventory import ANYONE, Inventory
+from papayalock.messages import Operation, Part, Route, Rule, Service
+
+DIGEST_BYTES = 12
+Manifest = dict[str, str]
+
+
+def part_digest(part: Part) -> str:
+    """Returns the content digest of a part."""
+    encoded = msgspec.json.encode(part, order='deterministic')
+    return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def manifest_digest(manifest: Manifest) -> str:
+    """Returns the digest of a set of parts, whatever the order they came in."""
+    encoded = msgspec.json.encode(manifest, order='deterministic')
+    return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def derive_parts(
+    inventory: Inventory, existing: Iterable[str]
+) -> dict[str, Part]:
+    """Returns the part of every service of the inventory.
+
+    A service without backend servers keeps its part but has no routes, so
+    that no route points at a missing resource.
+    """
+    present = set(existing)
+    rules = _rules_by_service(inventory.rules.rules)
+    return {
+        service.name: _derive_part(
+            service, rules.get(service.name, []), exists=service.name in present
+        )
+        for service in inventory.register.services
+    }
+
+
+def _rules_by_service(rules: list[Rule]) -> dict[str, list[Rule]]:
+    grouped: dict[str, list[Rule]] = {}
+    for rule in rules:
+        grouped.setdefault(rule.service, []).append(rule)
+    return grouped
+
+
+def _derive_part(service: Service, rules: list[Rule], *, exists: bool) -> Part:
+    routes = [_derive_route(service, one, rules) for one in service.operations]
+    return Part(
+        service=service.name,
+        slots=_last(rules, 'slots', service.slots),
+        connections=service.connections,
+        callers=sorted(service.callers),
+        routes=routes if exists else [],
+        weights={
+            rule.zone: rule.value for rule in rules if rule.action == 'weight'
+        },
+    )
+
+
+def _last(rules: list[Rule], action: str, default: int) -> int:
+    values = [rule.value for rule in rules if rule.action == action]
+    return values[-1] if values else default
+
+
+def _derive_route(
+    service: Service, operation: Operation, rules: list[Rule]
+) -> Route:
+    scoped = [rule for rule in rules if rule.operation in {'', operation.name}]
+    scoped.sort(key=lambda rule: bool(rule.operation))
+    denied = {rule.caller for rule in scoped if rule.action == 'deny'}
+    return Route(
+        operation=operation.name,
+        method=operation.method,
+        path=operation.path,
+        repeatable=operation.repeatable,
+        priority=operation.priority,
+        deadline_ms=_last(scoped, 'deadline', operation.deadline_ms),
+        cluster=service.name,
+        denied=sorted(denied),
+    )
+
+
+def in_scope(part: Part, service: str, extra: Iterable[str]) -> bool:
+    """Whether a node of ``service`` holds a part.
+
+    It holds its own service, the services that name it as a caller, and those
+    it subscribed to on demand.
+    """
+    if part.service == service or part.service in extra:
+        return True
+    return service in part.callers and ANYONE not in part.callers
--- /dev/null
+++ b/papayalock/core/election.py
@@ -0,0 +1,115 @@
+"""Elections: pre-vote, votes and the change of roles."""
+
+from papayalock.core.leading import Leading
+from papayalock.core.replica import PeerKind
+from papayalock.messages import Entry, PeerMessage
+
+
+class Electing(Leading):
+    """How a replica becomes a leader, and stops being one."""
+
+    def _tick_leader(self, now: float) -> None:
+        if not self._quorum_heard(now):
+            self._become_follower(self.term, now)
+        elif now >= self._next_beat:
+            self._broadcast(now)
+
+    def _start_election(self, now: float, *, pre_vote: bool) -> None:
+        self._reset_election(now)
+        if not self._is_voter(self.cfg.name):
+            return
+        self.leader = ''
+        self._votes = {self.cfg.name}
+        if pre_vote:
+            self.role = 'pre_candidate'
+        else:
+            self.role = 'candidate'
+            self._set_term(self.term + 1, vote=self.cfg.name)
+        if self._won(now):
+            return
+        kind: PeerKind = 'pre_vote' if pre_vote else 'vote'
+        term = self.term + 1 if pre_vote else self.term
+        for name in self._voters():
+            if name != self.cfg.name:
+                self._send(
+                    name,
+                    kind,
+                    term=term,
+                    index=self.log.last_index,
+                    log_term=self.log.last_term,
+                )
+
+    def _won(self, now: float) -> bool:
+        votes = len(self._votes & set(self._voters()))
+        if votes < self._majority():
+            return False
+        if self.role == 'pre_candidate':
+            self._start_election(now, pre_vote=False)
+        else:
+            self._become_leader(now)
+        return True
+
+    def _up_to_date(self, msg: PeerMessage) -> bool:
+        return (msg.log_term, msg.index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
+
+    def _on_pre_vote(self, msg: PeerMessage, now: float) -> None:
+        granted = (
+            msg.term > self.term
+            and self._up_to_date(msg)
+            and not self._heard_recently(now)
+        )
+        self._send(
+            msg.sender,
+            'pre_vote_res',
+            term=msg.term if granted else self.term,
+            granted=granted,
+        )
+
+    def _on_vote(self, msg: PeerMessage, now: float) -> None:
+        free = self.vote in {'', msg.sender}
+        granted = msg.term == self.term and free and self._up_to_date(msg)
+        if granted:
+            self._set_term(self.term, vote=msg.sender)
+            self._reset_election(now)
+        self._send(msg.sender, 'vote_res', granted=granted)
+
+    def _on_vote_answer(self, msg: PeerMessage, now: float) -> None:
+        wanted = 'pre_candidate' if msg.kind == 'pre_vote_res' else 'candidate'
+        expected = self.term + 1 if wanted == 'pre_candidate' else self.term
+        if not msg.granted and msg.term > self.term:
+            self._become_follower(msg.term, now)
+        elif self.role == wanted and msg.granted and msg.term == expected:
+            self._votes.add(msg.sender)
+            self._won(now)
+
+    def _become_follower(self, term: int, now: float) -> None:
+        if self.is_leader:
+            self.lease_until = float('-inf')
+        self.role = 'follower'
+        self.leader = ''
+        if term > self.term:
+            self._set_term(term, vote='')
+        self._reset_election(now)
+
+    def _become_leader(self, now: float) -> None:
+        self.role = 'leader'
+        self.leader = self.cfg.name
+        self.elected_at = now
+        self._own_match = 0
+        self._term_start = self.log.last_index + 1
+        self.peers = {}
+        self._lease_stopped = set()
+        self._ensure_peers(now)
+        self._append(
+            [
+                Entry(
+                    term=self.term,
+                    index=self._term_start,
+                    payload='{"kind":"noop"}',
+                )
+            ]
+        )
+        self._broadcast(now)
--- /dev/null
+++ b/papayalock/core/following.py
@@ -0,0 +1,97 @@
+"""The follower's side: taking in entries, snapshots and leases."""
+
+from papayalock.core.election import Electing
+from papayalock.core.replica import MS
+from papayalock.messages import PeerMessage
+
+
+class Following(Electing):
+    """What a replica does with the messages of a leader."""
+
+    def _refuse_append(self, msg: PeerMessage) -> None:
+        self._send(
+            msg.sender, 'append_res', index=self.log.last_index, round=msg.round
+        )
+
+    def _on_leader_message(self, msg: PeerMessage, now: float) -> None:
+        if self.role != 'follower' or self.leader != msg.sender:
+            self._become_follower(msg.term, now)
+            self._answered_at = {}
+            self.leader = msg.sender
+        self._heard_leader_at = now
+        self._reset_election(now)
+        self._note_lease(msg, now)
+        if msg.kind == 'snapshot':
+            self._install(msg)
+        elif self.log.term_at(msg.index) == msg.log_term:
+            self._accept(msg)
+        elif msg.index < self.log.snapshot.index:
+            self._answer(msg, self.log.snapshot.index)
+        else:
+            hint = min(self.log.last_index, msg.index - 1)
+            self._send(msg.sender, 'append_res', index=hint, round=msg.round)
+        self._answered_at[msg.round] = now
+
+    def _note_lease(self, msg: PeerMessage, now: float) -> None:
+        answered = self._answered_at.get(msg.acked)
+        if answered is not None and msg.lease_ms:
+            self.lease_until = max(
+                self.lease_until, answered + msg.lease_ms / MS
+            )
+            self._answered_at = {
+                number: at
+                for number, at in self._answered_at.items()
+                if number >= msg.acked
+            }
+        for zone, index in msg.releases.items():
+            self.releases[zone] = max(index, self.releases.get(zone, 0))
+
+    def _accept(self, msg: PeerMessage) -> None:
+        fresh = [
+            entry
+            for entry in msg.entries
+            if self.log.term_at(entry.index) != entry.term
+            and entry.index > self.log.snapshot.index
+        ]
+        if fresh:
+            if fresh[0].index <= self.log.last_index:
+                self.log.truncate(fresh[0].index)
+                self._drop_pending(fresh[0].index)
+            self._append(fresh)
+        match = msg.entries[-1].index if msg.entries else msg.index
+        self._commit_to(min(msg.commit, match))
+        self._answer(msg, match)
+
+    def _drop_pending(self, index: int) -> None:
+        effects = self._effects
+        effects.truncate_from = min(index, effects.truncate_from or index)
+        effects.entries = [
+            entry for entry in effects.entries if entry.index < index
+        ]
+
+    def _install(self, msg: PeerMessage) -> None:
+        snapshot = msg.snapshot
+        if snapshot is None:
+            return
+        if snapshot.index > self.commit:
+            self.log.compact(snapshot)
+            self.commit = snapshot.index
+            self.applied = snapshot.index
+            self._effects.installed = snapshot
+            self._effects.entries = []
+            self._effects.truncate_from = 0
+            self._effects.applied = []
+            self._dirty = True
+        self._answer(
+            msg, max(snapshot.index, min(self.commit, self.log.last_index))
+        )
+
+    def _answer(self, msg: PeerMessage, match: int) -> None:
+        self._send(
+            msg.sender,
+            'append_res',
+            index=match,
+            granted=True,
+            commit=self.commit,
+            round=msg.round,
+        )
--- /dev/null
+++ b/papayalock/core/inventory.py
@@ -0,0 +1,208 @@
+"""The register and rules of a mesh: parsing and checks of their meaning."""
+
+import itertools
+import tomllib
+from collections.abc import Iterable
+
+from papayalock.core.problems import Problems
+from papayalock.core.schema import Document, check_document
+from papayalock.messages import (
+    Operation,
+    Problem,
+    Register,
+    Rule,
+    Rules,
+    Service,
+)
+from papayalock.result import Code
+
+ANYONE = '*'
+MAX_WEIGHT_PERCENT = 1000
+MIN_DEADLINE_MS = 10
+MAX_SLOTS = 10000
+
+
+class Inventory:
+    """A register and its rules, each already of the right types."""
+
+    __slots__ = ('register', 'rules')
+
+    def __init__(self, register: Register, rules: Rules) -> None:
+        """Binds the two documents together."""
+        self.register = register
+        self.rules = rules
+
+
+def parse_inventory(
+    register_text: str, rules_text: str
+) -> tuple[Inventory | None, list[Problem]]:
+    """Returns the inventory of two TOML texts, and every error in them."""
+    problems = Problems()
+    register = _parse(register_text, Register, 'register', problems)
+    rules = _parse(rules_text, Rules, 'rules', problems)
+    if register is None or rules is None:
+        return None, problems.found
+    inventory = Inventory(register, rules)
+    problems.found.extend(check_inventory(inventory))
+    return (None if problems.found else inventory), problems.found
+
+
+def _parse(
+    text: str, kind: type[Document], name: str, problems: Problems
+) -> Document | None:
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as exc:
+        problems.add(Code.SYNTAX, name, str(exc))
+        return None
+    for single, plural in (('service', 'services'), ('rule', 'rules')):
+        if single in raw:
+            raw[plural] = raw.pop(single)
+    for service in raw.get('services', ()):
+        if isinstance(service, dict) and 'operation' in service:
+            service['operations'] = service.pop('operation')
+    return check_document(raw, kind, problems)
+
+
+def check_inventory(inventory: Inventory) -> list[Problem]:
+    """Returns every error in the meaning of an inventory; empty when sound."""
+    problems = Problems()
+    services = {one.name: one for one in inventory.register.services}
+    _check_unique(
+        (one.name for one in inventory.register.services), 'service', problems
+    )
+    for service in inventory.register.services:
+        _check_service(service, services, problems)
+    _check_unique((one.name for one in inventory.rules.rules), 'rule', problems)
+    for rule in inventory.rules.rules:
+        _check_rule(rule, services, problems)
+    _check_contradictions(inventory.rules.rules, problems)
+    return problems.found
+
+
+def _check_unique(names: Iterable[str], kind: str, problems: Problems) -> None:
+    seen: set[str] = set()
+    for name in names:
+        if name in seen:
+            problems.add(
+                Code.DUPLICATE, f'{kind}[{name}]', 'name is used twice'
+            )
+        seen.add(name)
+
+
+def _check_service(
+    service: Service, services: dict[str, Service], problems: Problems
+) -> None:
+    where = f'service[{service.name}]'
+    _check_unique(
+        (one.name for one in service.operations), f'{where}.operation', problems
+    )
+    for caller in service.callers:
+        if caller != ANYONE and caller not in services:
+            problems.add(
+                Code.MISSING_CALLER,
+                where,
+                f'caller {caller} is not in the register',
+            )
+    for first, second in itertools.combinations(service.operations, 2):
+        if _overlap(first, second):
+            problems.add(
+                Code.PATH_OVERLAP,
+                where,
+                f'{first.name} and {second.name} match the same calls',
+            )
+
+
+def _segments(path: str) -> list[str]:
+    return ['{}' if part.startswith('{') else part for part in path.split('/')]
+
+
+def _overlap(first: Operation, second: Operation) -> bool:
+    if first.method != second.method:
+        return False
+    left = _segments(first.path)
+    right = _segments(second.path)
+    if len(left) != len(right):
+        return False
+    exact = _rank(left) != _rank(right)
+    pairs = zip(left, right, strict=True)
+    return not exact and all(
+        one == two or '{}' in {one, two} for one, two in pairs
+    )
+
+
+def _rank(segments: list[str]) -> tuple[bool, ...]:
+    """Orders templates of equal length; an exact segment goes first."""
+    return tuple(segment == '{}' for segment in segments)
+
+
+def _check_rule(
+    rule: Rule, services: dict[str, Service], problems: Problems
+) -> None:
+    where = f'rule[{rule.name}]'
+    service = services.get(rule.service)
+    if service is None:
+        problems.add(
+            Code.MISSING_SERVICE,
+            where,
+            f'service {rule.service} is not in the register',
+        )
+        return
+    operations = {one.name for one in service.operations}
+    if rule.operation and rule.operation not in operations:
+        problems.add(
+            Code.MISSING_OPERATION,
+            where,
+            f'{rule.service} has no operation {rule.operation}',
+        )
+    if rule.caller not in {'', ANYONE, *services}:
+        problems.add(
+            Code.MISSING_CALLER,
+            where,
+            f'caller {rule.caller} is not in the register',
+        )
+    fault = _field_fault(rule)
+    if fault:
+        problems.add(Code.RULE_FIELD, where, fault)
+
+
+def _field_fault(rule: Rule) -> str:
+    if rule.action == 'deny':
+        return '' if rule.caller else 'a deny rule names a caller'
+    if rule.action == 'weight':
+        return _weight_fault(rule)
+    if rule.action == 'slots':
+        good = 1 <= rule.value <= MAX_SLOTS and not rule.operation
+        return (
+            ''
+            if good
+            else f'slots takes a value from 1 to {MAX_SLOTS} and no operation'
+        )
+    return (
+        ''
+        if rule.value >= MIN_DEADLINE_MS
+        else f'deadline takes at least {MIN_DEADLINE_MS} ms'
+    )
+
+
+def _weight_fault(rule: Rule) -> str:
+    if not rule.zone or rule.operation:
+        return 'a weight rule names an availability zone and no operation'
+    if rule.value > MAX_WEIGHT_PERCENT:
+        return f'a weight is at most {MAX_WEIGHT_PERCENT} percent'
+    return ''
+
+
+def _check_contradictions(rules: list[Rule], problems: Problems) -> None:
+    seen: dict[tuple[str, ...], Rule] = {}
+    for rule in rules:
+        if rule.action == 'deny':
+            continue
+        subject = (rule.action, rule.service, rule.operation, rule.zone)
+        earlier = seen.setdefault(subject, rule)
+        if earlier.value != rule.value:
+            problems.add(
+                Code.CONTRADICTION,
+                f'rule[{rule.name}]',
+                f'contradicts rule {earlier.name}: {rule.value} against {earlier.value}',
+            )
--- /dev/null
+++ b/papayalock/core/leading.py
@@ -0,0 +1,155 @@
+"""The leader's side: replication, commit, serving leases and releases."""
+
+from papayalock.core.release import release_points
+from papayalock.core.replica import MS, Progress, ReplicaState
+from papayalock.messages import PeerMessage
+
+
+class Leading(ReplicaState):
+    """What a replica does while it leads its group."""
+
+    def _ensure_peers(self, now: float) -> None:
+        names = {
+            one.member
+            for one in self.log.members
+            if one.member != self.cfg.name
+        }
+        for name in names - set(self.peers):
+            self.peers[name] = Progress(self.log.last_index + 1)
+            self.peers[name].heard_at = now
+        for name in set(self.peers) - names:
+            self.peers.pop(name)
+
+    def _broadcast(self, now: float) -> None:
+        self._ensure_peers(now)
+        self._next_beat = now + self.cfg.tick_ms / MS
+        self._round += 1
+        for name in self.peers:
+            self._replicate(name, now)
+
+    def _replicate(self, name: str, now: float) -> None:
+        progress = self.peers[name]
+        previous = progress.next - 1
+        log_term = self.log.term_at(previous)
+        if log_term is None:
+            self._send_snapshot(name, now)
+            return
+        entries = self.log.between(
+            progress.next, self.log.last_index, self.cfg.append_entries
+        )
+        lease_ms = self._grant(name, now)
+        progress.sent_at[self._round] = now
+        if entries:
+            progress.next = entries[-1].index + 1
+        self._send(
+            name,
+            'append',
+            index=previous,
+            log_term=log_term,
+            entries=entries,
+            commit=self.commit,
+            round=self._round,
+            acked=progress.acked,
+            lease_ms=lease_ms,
+            releases=self._releases_for(name),
+        )
+
+    def _grant(self, name: str, now: float) -> int:
+        """Returns the serving lease in ms that the next message carries.
+
+        A VM that has not yet committed the newest member set may have been
+        fenced and unfenced without knowing, so it gets none.
+        """
+        progress = self.peers[name]
+        view = self.log.view_at(self.commit)
+        fenced = any(one.member == name and one.fenced for one in view.members)
+        caught_up = progress.acked and progress.commit >= view.index
+        barred = fenced or name in self._lease_stopped
+        if barred or not caught_up or not self._quorum_heard(now):
+            return 0
+        progress.granted_at = now
+        return self.cfg.lease_ms
+
+    def _send_snapshot(self, name: str, now: float) -> None:
+        progress = self.peers[name]
+        if now - progress.snapshot_at < self.cfg.election_ms / MS:
+            return
+        progress.snapshot_at = now
+        self._send(
+            name,
+            'snapshot',
+            snapshot=self.log.snapshot,
+            commit=self.commit,
+            round=self._round,
+        )
+
+    def _on_append_answer(self, msg: PeerMessage, now: float) -> None:
+        progress = self.peers.get(msg.sender)
+        if not self.is_leader or progress is None or msg.term != self.term:
+            return
+        self._note_round(progress, msg, now)
+        if not msg.granted:
+            progress.next = max(1, min(msg.index + 1, progress.next - 1))
+            self._replicate(msg.sender, now)
+            return
+        progress.match = max(progress.match, msg.index)
+        progress.next = max(progress.next, progress.match + 1)
+        progress.commit = max(progress.commit, msg.commit)
+        self._advance_commit(now)
+        if progress.next <= self.log.last_index:
+            self._replicate(msg.sender, now)
+
+    def _note_round(
+        self, progress: Progress, msg: PeerMessage, now: float
+    ) -> None:
+        sent = progress.sent_at.get(msg.round)
+        if sent is None:
+            return
+        progress.heard_at = max(progress.heard_at, sent)
+        progress.acked = max(progress.acked, msg.round)
+        progress.sent_at = {
+            number: at
+            for number, at in progress.sent_at.items()
+            if number >= msg.round
+        }
+
+    def _advance_commit(self, now: float) -> None:
+        matches = sorted(self._match_of(name) for name in self._voters())
+        if not matches:
+            return
+        quorum = matches[-self._majority()]
+        if quorum > self.commit and self.log.term_at(quorum) == self.term:
+            self._commit_to(quorum)
+            self._broadcast(now)
+        self._update_releases(now)
+
+    def _match_of(self, name: str) -> int:
+        if name == self.cfg.name:
+            return self._own_match
+        return self.peers[name].match if name in self.peers else 0
+
+    def _update_releases(self, now: float) -> None:
+        """Advances the released index of each availability zone."""
+        commits = {
+            name: progress.commit for name, progress in self.peers.items()
+        }
+        commits[self.cfg.name] = self.durable_commit
+        points = release_points(self.log.view_at(self.commit).members, commits)
+        changed = False
+        for zone, index in points.items():
+            if index > self.releases.get(zone, 0):
+                self.releases[zone] = index
+                changed = True
+        if changed:
+            self._broadcast(now)
+
+    def _releases_for(self, name: str) -> dict[str, int]:
+        member = next(
+            (one for one in self.log.members if one.member == name), None
+        )
+        if member is None or member.fenced:
+            return {}
+        zones = (member.zone, *member.adopts)
+        return {
+            zone: self.releases[zone] for zone in zones if zone in self.releases
+        }
--- /dev/null
+++ b/papayalock/core/ledger.py
@@ -0,0 +1,253 @@
+"""The replicated state of the mesh: versions, request ids and the audit trail."""
+
+import msgspec
+
+from papayalock.commands import Command
+from papayalock.core.audit import AuditTrail
+from papayalock.core.derive import (
+    Manifest,
+    derive_parts,
+    manifest_digest,
+    part_digest,
+)
+from papayalock.core.inventory import Inventory, check_inventory
+from papayalock.messages import (
+    AuditRecord,
+    Part,
+    Register,
+    Rules,
+    SetExistence,
+    SetMember,
+    Submit,
+    SubmitRes,
+    VersionInfo,
+)
+from papayalock.result import Code
+
+REQUESTS_KEPT = 10000  # request ids whose answers are kept
+
+
+class LedgerState(msgspec.Struct):
+    """The ledger as a snapshot stores it."""
+
+    register: Register | None
+    rules: Rules
+    existing: list[str]
+    versions: list[VersionInfo]
+    parts: dict[str, Part]
+    requests: dict[str, SubmitRes]
+    fingerprints: dict[str, str]
+    audit: list[AuditRecord]
+
+
+class Ledger:
+    """Applies committed commands in log order; every replica does the same."""
+
+    def __init__(self, *, history: int, audit_records: int) -> None:
+        """Starts empty.
+
+        :param history: versions whose parts are kept
+        :param audit_records: audit records kept
+        """
+        self.inventory: Inventory | None = None
+        self.existing: list[str] = []
+        self.versions: list[VersionInfo] = []
+        self.parts: dict[str, Part] = {}
+        self.audit = AuditTrail(audit_records)
+        self._history = history
+        self._requests: dict[str, SubmitRes] = {}
+        self._fingerprints: dict[str, str] = {}
+
+    @property
+    def version(self) -> int:
+        """The newest accepted version; 0 before the first."""
+        return self.versions[-1].version if self.versions else 0
+
+    def version_at(self, index: int) -> VersionInfo | None:
+        """Returns the newest version whose log index is at most ``index``."""
+        return next(
+            (one for one in reversed(self.versions) if one.index <= index), None
+        )
+
+    def info(self, version: int) -> VersionInfo | None:
+        """Returns one kept version, or None."""
+        if not self.versions:
+            return None
+        position = version - self.versions[0].version
+        return (
+            self.versions[position]
+            if 0 <= position < len(self.versions)
+            else None
+        )
+
+    def parts_of(self, info: VersionInfo) -> dict[str, Part]:
+        """Returns the parts of one kept version."""
+        return {name: self.parts[digest] for name, digest in info.parts.items()}
+
+    def answer_of(self, request: str) -> SubmitRes | None:
+        """Returns the durable answer of a request id, or None."""
+        return self._requests.get(request)
+
+    def apply(self, index: int, command: Command) -> SubmitRes | None:
+        """Applies one committed command and returns its answer, if it has one."""
+        if isinstance(command, Submit):
+            return self._submit(index, command)
+        if isinstance(command, SetExistence):
+            self._set_existence(index, command)
+        elif isinstance(command, SetMember):
+            return self._note_member(index, command)
+        return None
+
+    def dump(self) -> str:
+        """Returns the state as JSON text."""
+        inventory = self.inventory
+        state = LedgerState(
+            register=inventory.register if inventory else None,
+            rules=inventory.rules if inventory else Rules(),
+            existing=self.existing,
+            versions=self.versions,
+            parts=self.parts,
+            requests=self._requests,
+            fingerprints=self._fingerprints,
+            audit=self.audit.records,
+        )
+        return msgspec.json.encode(state).decode()
+
+    def load(self, text: str) -> None:
+        """Replaces the state by a dumped one; an empty text resets it."""
+        if not text:
+            return
+        state = msgspec.json.decode(text, type=LedgerState)
+        self.inventory = (
+            Inventory(state.register, state.rules) if state.register else None
+        )
+        self.existing = state.existing
+        self.versions = state.versions
+        self.parts = state.parts
+        self._requests = state.requests
+        self._fingerprints = state.fingerprints
+        self.audit.records = state.audit
+
+    def _submit(self, index: int, command: Submit) -> SubmitRes:
+        fingerprint = submit_fingerprint(command)
+        earlier = self._requests.get(command.request)
+        if earlier is not None:
+            if self._fingerprints[command.request] == fingerprint:
+                return earlier
+            return SubmitRes(
+                code=Code.REQUEST_REUSED,
+                version=self.version,
+                message='request id was used for another submission',
+            )
+        answer = self._decide(index, command)
+        self._requests[command.request] = answer
+        self._fingerprints[command.request] = fingerprint
+        if len(self._requests) > REQUESTS_KEPT:
+            oldest = next(iter(self._requests))
+            self._requests.pop(oldest)
+            self._fingerprints.pop(oldest)
+        return answer
+
+    def _decide(self, index: int, command: Submit) -> SubmitRes:
+        if command.base != self.version:
+            return SubmitRes(
+                code=Code.CONFLICT,
+                version=self.version,
+                message=f'made from {command.base}, current is {self.version}',
+            )
+        inventory = Inventory(command.register, command.rules)
+        problems = check_inventory(inventory)
+        if problems:
+            return SubmitRes(
+                code=Code.INVALID, version=self.version, problems=problems
+            )
+        self.inventory = inventory
+        self._add_version(index, command.at_ms, command.operator, 'submit')
+        return SubmitRes(code=Code.DONE, version=self.version)
+
+    def _set_existence(self, index: int, command: SetExistence) -> None:
+        if command.services == self.existing:
+            return
+        self.existing = list(command.services)
+        if self.inventory is not None:
+            self._add_version(index, command.at_ms, '', 'existence')
+
+    def _note_member(self, index: int, command: SetMember) -> SubmitRes:
+        detail = f'{command.action} {command.member.member}'
+        self.audit.add(
+            index,
+            command.at_ms,
+            'member',
+            self.version,
+            command.operator,
+            detail,
+        )
+        return SubmitRes(code=Code.DONE, version=self.version)
+
+    def _add_version(
+        self, index: int, at_ms: int, operator: str, cause: str
+    ) -> None:
+        if self.inventory is None:
+            return
+        manifest: Manifest = {}
+        for name, part in derive_parts(self.inventory, self.existing).items():
+            digest = part_digest(part)
+            self.parts.setdefault(digest, part)
+            manifest[name] = digest
+        previous = self.versions[-1].parts if self.versions else {}
+        info = VersionInfo(
+            version=self.version + 1,
+            index=index,
+            at_ms=at_ms,
+            operator=operator,
+            cause=cause,
+            parts=manifest,
+        )
+        self.versions.append(info)
+        self.audit.add(
+            index,
+            at_ms,
+            cause,
+            info.version,
+            operator,
+            describe_change(previous, manifest),
+        )
+        if len(self.versions) > self._history:
+            self._drop_versions()
+
+    def _drop_versions(self) -> None:
+        self.versions = self.versions[-self._history :]
+        used = {
+            digest for info in self.versions for digest in info.parts.values()
+        }
+        self.parts = {
+            digest: part
+            for digest, part in self.parts.items()
+            if digest in used
+        }
+
+
+def submit_fingerprint(command: Submit) -> str:
+    """Returns a digest of what a submission asks for, without its time."""
+    parts = {
+        'base': str(command.base),
+        'operator': command.operator,
+        'register': msgspec.json.encode(command.register).decode(),
+        'rules': msgspec.json.encode(command.rules).decode(),
+    }
+    return manifest_digest(parts)
+
+
+def describe_change(previous: Manifest, current: Manifest) -> str:
+    """Returns the services whose parts differ, as one line."""
+    added = sorted(set(current) - set(previous))
+    removed = sorted(set(previous) - set(current))
+    changed = sorted(
+        name
+        for name in set(previous) & set(current)
+        if previous[name] != current[name]
+    )
+    marks = [f'+{name}' for name in added]
+    marks.extend(f'-{name}' for name in removed)
+    marks.extend(f'~{name}' for name in changed)
+    return ' '.join(marks)
--- /dev/null
+++ b/papayalock/core/problems.py
@@ -0,0 +1,22 @@
+"""Collects the numbered errors of one document."""
+
+from papayalock.messages import Problem
+from papayalock.result import Code
+
+
+class Problems:
+    """Numbered errors found so far; checks go on after the first."""
+
+    __slots__ = ('found',)
+
+    def __init__(self) -> None:
+        """Starts without errors."""
+        self.found: list[Problem] = []
+
+    def add(self, code: Code, where: str, message: str) -> None:
+        """Adds one error.
+
+        :param where: the place in the document, such as ``service[2].slots``
+        """
+        problem = Problem(code=code.value, where=where, message=message)
+        self.found.append(problem)
--- /dev/null
+++ b/papayalock/core/raftlog.py
@@ -0,0 +1,135 @@
+"""The in-memory log of one replica and the member sets that it implies."""
+
+from papayalock.commands import decode_command
+from papayalock.messages import Entry, Member, SetMember, Snapshot
+
+
+def changed_members(members: list[Member], change: SetMember) -> list[Member]:
+    """Returns the member set after one change; applying it again is idempotent."""
+    subject = change.member
+    kept = [member for member in members if member.member != subject.member]
+    known = next((one for one in members if one.member == subject.member), None)
+    if change.action == 'remove':
+        return kept
+    if change.action == 'add':
+        return members if known else [*kept, subject]
+    if known is None:
+        return members
+    return sorted([*kept, _changed(known, change)], key=lambda one: one.member)
+
+
+def _changed(known: Member, change: SetMember) -> Member:
+    adopts = list(known.adopts)
+    if change.action == 'adopt':
+        adopts = sorted({*adopts, *change.member.adopts})
+    return Member(
+        member=known.member,
+        zone=known.zone,
+        address=known.address,
+        voter=known.voter or change.action == 'promote',
+        fenced=_fenced(known, change),
+        adopts=adopts,
+    )
+
+
+def _fenced(known: Member, change: SetMember) -> bool:
+    if change.action == 'fence':
+        return True
+    return known.fenced and change.action != 'unfence'
+
+
+class MemberView:
+    """A member set and the log index that established it."""
+
+    __slots__ = ('index', 'members')
+
+    def __init__(self, index: int, members: list[Member]) -> None:
+        """Binds the set to its index."""
+        self.index = index
+        self.members = members
+
+
+class RaftLog:
+    """Entries after a snapshot; indices start at 1 and have no gaps."""
+
+    def __init__(self, snapshot: Snapshot, entries: list[Entry]) -> None:
+        """Restores the log from what the disk held."""
+        self.snapshot = snapshot
+        self._entries: list[Entry] = []
+        self._views = [MemberView(snapshot.index, list(snapshot.members))]
+        self.append(entries)
+
+    @property
+    def last_index(self) -> int:
+        """The index of the newest entry."""
+        return self.snapshot.index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """The term of the newest entry."""
+        return self._entries[-1].term if self._entries else self.snapshot.term
+
+    @property
+    def members(self) -> list[Member]:
+        """The newest member set, whether committed or not."""
+        return self._views[-1].members
+
+    @property
+    def members_index(self) -> int:
+        """The index of the newest member change."""
+        return self._views[-1].index
+
+    def view_at(self, index: int) -> MemberView:
+        """Returns the member set in force at an index."""
+        return next(
+            (view for view in reversed(self._views) if view.index <= index),
+            self._views[0],
+        )
+
+    def term_at(self, index: int) -> int | None:
+        """Returns the term of an entry, or None when it is not held."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        position = index - self.snapshot.index - 1
+        if 0 <= position < len(self._entries):
+            return self._entries[position].term
+        return None
+
+    def append(self, entries: list[Entry]) -> None:
+        """Appends entries that follow the newest one."""
+        for entry in entries:
+            self._entries.append(entry)
+            self._note_members(entry)
+
+    def truncate(self, index: int) -> None:
+        """Removes the entries from ``index`` on."""
+        del self._entries[index - self.snapshot.index - 1 :]
+        while len(self._views) > 1 and self._views[-1].index >= index:
+            self._views.pop()
+
+    def between(self, start: int, stop: int, limit: int) -> list[Entry]:
+        """Returns at most ``limit`` entries from ``start`` to ``stop``, inclusive."""
+        offset = self.snapshot.index + 1
+        end = min(stop + 1, start + limit)
+        return self._entries[start - offset : max(end - offset, 0)]
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Replaces all entries up to the snapshot's index by the snapshot."""
+        if self.term_at(snapshot.index) == snapshot.term:
+            keep = self.between(
+                snapshot.index + 1, self.last_index, self.last_index
+            )
+        else:
+            keep = []
+        self._entries = []
+        self.snapshot = snapshot
+        self._views = [MemberView(snapshot.index, list(snapshot.members))]
+        self.append(keep)
+
+    def _note_members(self, entry: Entry) -> None:
+        if '"member"' not in entry.payload:
+            return
+        command = decode_command(entry.payload)
+        if isinstance(command, SetMember):
+            members = changed_members(self.members, command)
+            self._views.append(MemberView(entry.index, members))
--- /dev/null
+++ b/papayalock/core/replica.py
@@ -0,0 +1,305 @@
+"""What one replica knows and remembers, shared by its roles."""
+
+from typing import Any, Literal
+
+from papayalock.core.raftlog import RaftLog
+from papayalock.messages import Entry, Member, PeerMessage, Snapshot
+from papayalock.ports import Random
+
+MS = 1000  # milliseconds in a second
+PERCENT = 100
+PeerKind = Literal[
+    'pre_vote',
+    'pre_vote_res',
+    'vote',
+    'vote_res',
+    'append',
+    'append_res',
+    'snapshot',
+]
+
+
+class HardState:
+    """What a replica must remember across restarts beside its log."""
+
+    __slots__ = ('commit', 'term', 'vote')
+
+    def __init__(self, term: int = 0, vote: str = '', commit: int = 0) -> None:
+        """Keeps the term, the vote given in it and the durable commit index."""
+        self.term = term
+        self.vote = vote
+        self.commit = commit
+
+
+class Restored:
+    """What storage held when the replica started."""
+
+    __slots__ = ('entries', 'hard', 'snapshot')
+
+    def __init__(
+        self, hard: HardState, snapshot: Snapshot, entries: list[Entry]
+    ) -> None:
+        """Binds the three parts together."""
+        self.hard = hard
+        self.snapshot = snapshot
+        self.entries = entries
+
+
+class ReplicaConfig:
+    """Identity and timing of one replica; times in milliseconds."""
+
+    __slots__ = (
+        'append_entries',
+        'drift_percent',
+        'election_ms',
+        'group',
+        'lease_ms',
+        'name',
+        'tick_ms',
+    )
+
+    def __init__(
+        self,
+        group: str,
+        name: str,
+        *,
+        tick_ms: int = 50,
+        election_ms: int = 500,
+        lease_ms: int = 1000,
+        drift_percent: int = 5,
+        append_entries: int = 256,
+    ) -> None:
+        """Keeps the values as given."""
+        self.group = group
+        self.name = name
+        self.tick_ms = tick_ms
+        self.election_ms = election_ms
+        self.lease_ms = lease_ms
+        self.drift_percent = drift_percent
+        self.append_entries = append_entries
+
+
+class Effects:
+    """What the driver must do, in this order: persist, send, apply."""
+
+    __slots__ = (
+        'applied',
+        'entries',
+        'hard',
+        'installed',
+        'messages',
+        'truncate_from',
+    )
+
+    def __init__(self) -> None:
+        """Starts with nothing to do."""
+        self.hard: HardState | None = None
+        self.truncate_from = 0
+        self.entries: list[Entry] = []
+        self.messages: list[PeerMessage] = []
+        self.applied: list[Entry] = []
+        self.installed: Snapshot | None = None
+
+    @property
+    def durable(self) -> bool:
+        """Whether something must reach the disk before messages are sent."""
+        return bool(
+            self.hard or self.entries or self.truncate_from or self.installed
+        )
+
+
+class Progress:
+    """What a leader knows of one peer."""
+
+    __slots__ = (
+        'acked',
+        'commit',
+        'granted_at',
+        'heard_at',
+        'match',
+        'next',
+        'sent_at',
+        'snapshot_at',
+    )
+
+    def __init__(self, next_index: int) -> None:
+        """Starts with an unknown match index."""
+        self.next = next_index
+        self.match = 0
+        self.commit = 0
+        self.acked = 0
+        self.heard_at = float('-inf')
+        self.granted_at = float('-inf')
+        self.snapshot_at = float('-inf')
+        self.sent_at: dict[int, float] = {}
+
+
+class ReplicaState:
+    """State and queries of a replica, whatever its role."""
+
+    def __init__(
+        self, cfg: ReplicaConfig, restored: Restored, rng: Random, now: float
+    ) -> None:
+        """Starts as a follower with what the disk held.
+
+        :param now: monotonic seconds
+        """
+        self.cfg = cfg
+        self.log = RaftLog(restored.snapshot, restored.entries)
+        self.term = restored.hard.term
+        self.vote = restored.hard.vote
+        self.commit = max(restored.hard.commit, restored.snapshot.index)
+        self.applied = restored.snapshot.index
+        self.durable_commit = self.commit
+        self.role = 'follower'
+        self.leader = ''
+        self.releases: dict[str, int] = {}
+        self.lease_until = float('-inf')
+        self.elected_at = float('-inf')
+        self.peers: dict[str, Progress] = {}
+        self._rng = rng
+        self._votes: set[str] = set()
+        self._heard_leader_at = float('-inf')
+        self._answered_at: dict[int, float] = {}
+        self._round = 0
+        self._term_start = 0
+        self._lease_stopped: set[str] = set()
+        self._own_match = 0
+        self._taken_commit = self.commit
+        self._taken_last = self.log.last_index
+        self._dirty = False
+        self._effects = Effects()
+        self._reset_election(now)
+        self._next_beat = now
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads its group."""
+        return self.role == 'leader'
+
+    @property
+    def me(self) -> Member | None:
+        """This replica's own member record in the newest member set."""
+        return next(
+            (one for one in self.log.members if one.member == self.cfg.name),
+            None,
+        )
+
+    def has_lease(self, now: float) -> bool:
+        """Whether the leader's serving lease still runs."""
+        if self.is_leader:
+            return self._quorum_heard(now)
+        return now < self.lease_until
+
+    def fence_allowed_at(self, member: str) -> float:
+        """Returns the monotonic time from which a member's lease has run out.
+
+        A new leader counts from its election, since its predecessor may have
+        granted leases until its own check-quorum took effect.
+        """
+        stretch = (PERCENT + self.cfg.drift_percent) / PERCENT / MS
+        inherited = (
+            self.elected_at
+            + (self.cfg.election_ms + self.cfg.lease_ms) * stretch
+        )
+        progress = self.peers.get(member)
+        if progress is None:
+            return inherited
+        return max(inherited, progress.granted_at + self.cfg.lease_ms * stretch)
+
+    def stop_leases(self, member: str) -> None:
+        """Grants a control VM no lease until :meth:`resume_leases`."""
+        self._lease_stopped.add(member)
+
+    def resume_leases(self, member: str) -> None:
+        """Grants a control VM leases again, unless it is fenced."""
+        self._lease_stopped.discard(member)
+
+    def change_allowed(self) -> bool:
+        """Whether a member change may be proposed now.
+
+        The previous change and an entry of the leader's own term must be
+        committed first.
+        """
+        return self.is_leader and self.commit >= max(
+            self.log.members_index, self._term_start
+        )
+
+    def take(self) -> Effects:
+        """Returns the effects of all inputs since the last call."""
+        effects = self._effects
+        self._effects = Effects()
+        self._taken_commit = self.commit
+        self._taken_last = self.log.last_index
+        if self._dirty:
+            effects.hard = HardState(self.term, self.vote, self.commit)
+            self._dirty = False
+        if self.applied < self.commit:
+            effects.applied = self.log.between(
+                self.applied + 1, self.commit, self.commit
+            )
+            self.applied = self.commit
+        return effects
+
+    def _reset_election(self, now: float) -> None:
+        spread = self.cfg.election_ms * (1 + self._rng.random())
+        self._election_at = now + spread / MS
+
+    def _heard_recently(self, now: float) -> bool:
+        if self.is_leader:
+            return self._quorum_heard(now)
+        return now - self._heard_leader_at < self.cfg.election_ms / MS
+
+    def _quorum_heard(self, now: float) -> bool:
+        limit = now - self.cfg.election_ms / MS
+        heard = [
+            name for name in self._voters() if self._heard_since(name, limit)
+        ]
+        return len(heard) >= self._majority()
+
+    def _heard_since(self, name: str, limit: float) -> bool:
+        if name == self.cfg.name:
+            return True
+        return name in self.peers and self.peers[name].heard_at >= limit
+
+    def _is_voter(self, name: str) -> bool:
+        return any(one.member == name and one.voter for one in self.log.members)
+
+    def _voters(self) -> list[str]:
+        return [one.member for one in self.log.members if one.voter]
+
+    def _majority(self) -> int:
+        return len(self._voters()) // 2 + 1
+
+    def _append(self, entries: list[Entry]) -> None:
+        self.log.append(entries)
+        self._effects.entries.extend(entries)
+
+    def _set_term(self, term: int, *, vote: str) -> None:
+        self._dirty = self._dirty or term != self.term or vote != self.vote
+        self.term = term
+        self.vote = vote
+
+    def _commit_to(self, index: int) -> None:
+        if index <= self.commit:
+            return
+        self.commit = index
+        self._dirty = True
+
+    def _send(
+        self,
+        receiver: str,
+        kind: PeerKind,
+        *,
+        term: int | None = None,
+        **fields: Any,
+    ) -> None:
+        message = PeerMessage(
+            group=self.cfg.group,
+            kind=kind,
+            sender=self.cfg.name,
+            receiver=receiver,
+            term=self.term if term is None else term,
+            **fields,
+        )
+        self._effects.messages.append(message)
--- /dev/null
+++ b/papayalock/core/replog.py
@@ -0,0 +1,101 @@
+"""A replica of one replicated log: elections, replication, commit, release.
+
+The replica follows the published Raft descriptions with pre-vote and
+check-quorum. It keeps no clock, file or socket of its own. Inputs change its
+state; :meth:`Replica.take` returns the :class:`Effects`, of which the driver
+makes the records durable first and only then sends the messages and applies
+the committed entries.
+"""
+
+from papayalock.core.following import Following
+from papayalock.core.replica import (
+    Effects,
+    HardState,
+    ReplicaConfig,
+    Restored,
+)
+from papayalock.messages import Entry, PeerMessage, Snapshot
+
+__all__ = ('Effects', 'HardState', 'Replica', 'ReplicaConfig', 'Restored')
+
+
+class Replica(Following):
+    """One replica of one group."""
+
+    def tick(self, now: float) -> None:
+        """Advances timers."""
+        if self.is_leader:
+            self._tick_leader(now)
+        elif now >= self._election_at:
+            self._start_election(now, pre_vote=True)
+
+    def propose(self, payloads: list[str], now: float) -> int:
+        """Appends commands when leading.
+
+        :returns: index of the first entry, or 0 when this replica does not lead
+        """
+        if not self.is_leader:
+            return 0
+        first = self.log.last_index + 1
+        entries = [
+            Entry(term=self.term, index=first + shift, payload=payload)
+            for shift, payload in enumerate(payloads)
+        ]
+        self._append(entries)
+        self._broadcast(now)
+        return first
+
+    def persisted(self, now: float) -> None:
+        """Notes that all effects taken so far are durable; may commit entries."""
+        self.durable_commit = self._taken_commit
+        if self.is_leader:
+            self._own_match = self._taken_last
+            self._advance_commit(now)
+
+    def compact(self, state: str, index: int) -> Snapshot:
+        """Replaces the applied prefix of the log by a snapshot.
+
+        The driver writes the returned snapshot before it drops old records.
+        """
+        snapshot = Snapshot(
+            index=index,
+            term=self.log.term_at(index) or 0,
+            members=self.log.view_at(index).members,
+            state=state,
+        )
+        self.log.compact(snapshot)
+        return snapshot
+
+    def receive(self, msg: PeerMessage, now: float) -> None:
+        """Handles a message of another replica.
+
+        A vote request is ignored while a leader is heard, so that a replica
+        returning from a partition does not depose it.
+        """
+        if msg.receiver != self.cfg.name or msg.group != self.cfg.group:
+            return
+        if msg.kind == 'pre_vote':
+            self._on_pre_vote(msg, now)
+        elif not self._is_disruptive(msg, now):
+            self._on_termed(msg, now)
+
+    def _is_disruptive(self, msg: PeerMessage, now: float) -> bool:
+        return (
+            msg.kind == 'vote'
+            and msg.term > self.term
+            and self._heard_recently(now)
+        )
+
+    def _on_termed(self, msg: PeerMessage, now: float) -> None:
+        if msg.term > self.term and msg.kind != 'pre_vote_res':
+            self._become_follower(msg.term, now)
+        if msg.kind == 'vote':
+            self._on_vote(msg, now)
+        elif msg.kind in {'pre_vote_res', 'vote_res'}:
+            self._on_vote_answer(msg, now)
+        elif msg.kind == 'append_res':
+            self._on_append_answer(msg, now)
+        elif msg.term < self.term:
+            self._refuse_append(msg)
+        else:
+            self._on_leader_message(msg, now)
--- /dev/null
+++ b/papayalock/core/schema.py
@@ -0,0 +1,91 @@
+"""Checks decoded documents against the generated types, naming every error."""
+
+import difflib
+from collections.abc import Iterator
+from typing import Any, TypeVar
+
+import msgspec
+
+from papayalock.core.problems import Problems
+from papayalock.result import Code
+
+Document = TypeVar('Document', bound=msgspec.Struct)
+
+
+def check_document(
+    raw: dict[str, Any], kind: type[Document], problems: Problems
+) -> Document | None:
+    """Returns the typed document, or None after adding every error found.
+
+    :param raw: the document as its parser left it
+    :param kind: the generated type it must have
+    """
+    before = len(problems.found)
+    _check_struct(raw, kind, '', problems)
+    if len(problems.found) > before:
+        return None
+    return msgspec.convert(raw, kind)
+
+
+def _check_struct(
+    raw: Any, kind: type[msgspec.Struct], where: str, problems: Problems
+) -> None:
+    if not isinstance(raw, dict):
+        problems.add(Code.BAD_VALUE, where, 'expected a table')
+        return
+    fields = {field.name: field for field in msgspec.structs.fields(kind)}
+    for key in raw.keys() - fields.keys():
+        problems.add(Code.UNKNOWN_KEY, _join(where, key), _unknown(key, fields))
+    for name, field in fields.items():
+        place = _join(where, name)
+        found = raw.get(name, msgspec.NODEFAULT)
+        if found is not msgspec.NODEFAULT:
+            _check_value(found, field.type, place, problems)
+        elif field.required:
+            problems.add(Code.BAD_VALUE, place, 'missing')
+
+
+def _check_value(raw: Any, kind: Any, where: str, problems: Problems) -> None:
+    info = msgspec.inspect.type_info(kind)
+    if isinstance(info, msgspec.inspect.StructType):
+        _check_struct(raw, info.cls, where, problems)
+        return
+    if _is_struct_list(info) and isinstance(raw, list):
+        for place, element in _numbered(raw, where):
+            _check_struct(element, _item_type(info), place, problems)
+        return
+    try:
+        msgspec.convert(raw, kind)
+    except msgspec.ValidationError as exc:
+        problems.add(Code.BAD_VALUE, where, str(exc))
+
+
+def _is_struct_list(info: msgspec.inspect.Type) -> bool:
+    if not isinstance(info, msgspec.inspect.ListType):
+        return False
+    return isinstance(info.item_type, msgspec.inspect.StructType)
+
+
+def _item_type(info: Any) -> type[msgspec.Struct]:
+    kind: type[msgspec.Struct] = info.item_type.cls
+    return kind
+
+
+def _numbered(raw: list[Any], where: str) -> Iterator[tuple[str, Any]]:
+    for position, element in enumerate(raw):
+        label = (
+            element.get('name', position)
+            if isinstance(element, dict)
+            else position
+        )
+        yield f'{where}[{label}]', element
+
+
+def _join(where: str, key: str) -> str:
+    return f'{where}.{key}' if where else key
+
+
+def _unknown(key: str, fields: dict[str, Any]) -> str:
+    near = difflib.get_close_matches(key, fields, n=1)
+    hint = f'; did you mean {near[0]}?' if near else ''
+    return f'unknown key{hint}'
--- /dev/null
+++ b/papayalock/core/subscriptions.py
@@ -0,0 +1,54 @@
+"""The services that a node holds because callers asked for them."""
+
+from collections import OrderedDict
+
+MS = 1000  # milliseconds in a second
+UNKNOWN_KEPT = 256  # names remembered as unknown
+
+
+class Subscriptions:
+    """The most recently used services, within a bound.
+
+    Names that turned out to be no service are remembered for a while, so that
+    callers who use them cost nothing and push no real service out.
+    """
+
+    __slots__ = ('_limit', '_unknown', '_unknown_s', '_used')
+
+    def __init__(self, limit: int, unknown_ms: int) -> None:
+        """Starts empty.
+
+        :param limit: services held
+        :param unknown_ms: time for which an unknown name is refused at once
+        """
+        self._limit = limit
+        self._unknown_s = unknown_ms / MS
+        self._used: OrderedDict[str, None] = OrderedDict()
+        self._unknown: OrderedDict[str, float] = OrderedDict()
+
+    @property
+    def names(self) -> list[str]:
+        """The subscribed services, sorted."""
+        return sorted(self._used)
+
+    def want(self, service: str, now: float) -> bool:
+        """Subscribes to a service, unless its name is known to be unknown."""
+        if self._unknown.get(service, now) > now:
+            return False
+        self._used[service] = None
+        self._used.move_to_end(service)
+        while len(self._used) > self._limit:
+            self._used.popitem(last=False)
+        return True
+
+    def touch(self, service: str) -> None:
+        """Notes the use of a service, so that it is not dropped."""
+        if service in self._used:
+            self._used.move_to_end(service)
+
+    def refute(self, service: str, now: float) -> None:
+        """Notes that no service has this name."""
+        self._used.pop(service, None)
+        self._unknown[service] = now + self._unknown_s
+        while len(self._unknown) > UNKNOWN_KEPT:
+            self._unknown.popitem(last=False)
--- /dev/null
+++ b/papayalock/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node: the process beside each backend server."""
--- /dev/null
+++ b/papayalock/node/gate.py
@@ -0,0 +1,100 @@
+"""The waiting side of the gate: calls that hold or wait for a slot."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from papayalock.core.limits import Gate, Job, Queued, Shed
+from papayalock.messages import Part
+from papayalock.ports import Clock
+from papayalock.result import Code
+
+
+class Refused(Exception):
+    """A call that did not get a slot and was not run."""
+
+    def __init__(self, code: Code, retry_after_ms: int = 0) -> None:
+        """Keeps why, and when there may be room."""
+        super().__init__(code.name)
+        self.code = code
+        self.retry_after_ms = retry_after_ms
+
+
+class GateQueue:
+    """Gives slots of a :class:`Gate` to calls and refuses the rest at once."""
+
+    def __init__(self, gate: Gate, clock: Clock) -> None:
+        """Starts without calls."""
+        self.gate = gate
+        self._clock = clock
+        self._waiting: dict[Job, asyncio.Future[None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def resize(self, part: Part | None) -> None:
+        """Takes the slots and connections of the configuration in force."""
+        self.gate.slots = part.slots if part else 0
+        self.gate.connections = part.connections if part else 0
+        self._start_ready()
+
+    def drain(self) -> None:
+        """Refuses new calls, and those that still wait, at once."""
+        self.gate.draining = True
+        for job, fut in list(self._waiting.items()):
+            self.gate.finish(job, self._clock.monotonic())
+            if not fut.done():
+                fut.set_exception(Refused(Code.DRAINING))
+        self._waiting.clear()
+
+    @asynccontextmanager
+    async def slot(self, priority: str, deadline: float) -> AsyncIterator[Job]:
+        """Holds a slot for the body of the ``with`` statement.
+
+        :param deadline: monotonic seconds by which the call must have started
+        :raises Refused: when it gets none
+        """
+        job = Job(priority, deadline, self._clock.monotonic())
+        admittance = self.gate.submit(job, job.arrived)
+        if isinstance(admittance, Shed):
+            raise Refused(admittance.code, admittance.retry_after_ms)
+        try:
+            if isinstance(admittance, Queued):
+                await self._wait(job)
+            yield job
+        finally:
+            self.gate.finish(job, self._clock.monotonic())
+            self._start_ready()
+
+    async def _wait(self, job: Job) -> None:
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[job] = fut
+        self._watch_deadlines()
+        try:
+            await fut
+        finally:
+            self._waiting.pop(job, None)
+
+    def _start_ready(self) -> None:
+        for job in self.gate.startable(self._clock.monotonic()):
+            fut = self._waiting.get(job)
+            if fut is not None and not fut.done():
+                fut.set_result(None)
+
+    def _watch_deadlines(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        earliest = min(job.deadline for job in self._waiting)
+        delay = max(0.0, earliest - self._clock.monotonic())
+        self._timer = asyncio.get_running_loop().call_later(delay, self._expire)
+
+    def _expire(self) -> None:
+        self._timer = None
+        for job in self.gate.overdue(self._clock.monotonic()):
+            fut = self._waiting.pop(job, None)
+            if fut is not None and not fut.done():
+                fut.set_exception(
+                    Refused(
+                        Code.DEADLINE_BEFORE_RUN, self.gate.retry_after_ms()
+                    )
+                )
+        if self._waiting:
+            self._watch_deadlines()
--- /dev/null
+++ b/papayalock/node/main.py
@@ -0,0 +1,164 @@
+"""Wires and runs a node."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import signal
+
+from papayalock.clock import SystemClock
+from papayalock.core.attempts import AttemptLog
+from papayalock.core.limits import Aging, Gate
+from papayalock.core.retry import RetryPolicy
+from papayalock.core.routing import Balancer
+from papayalock.node.admin import Admin
+from papayalock.node.agent import Agent
+from papayalock.node.claims import ClaimClient
+from papayalock.node.counters import Counters
+from papayalock.node.dispatch import Dispatcher
+from papayalock.node.gate import GateQueue
+from papayalock.node.http import Server, ServerLimits
+from papayalock.node.once import OnceRunner
+from papayalock.node.relay import Relay
+from papayalock.settings import Settings
+from papayalock.wire import Pool
+
+log = logging.getLogger(__name__)
+
+MS = 1000  # milliseconds in a second
+ANNOUNCEMENTS_PER_LEASE = 4
+POOLED_PER_ADDRESS = 64
+DRAIN_NOTICE_S = 0.3  # time for the announcement of the drain to go out
+
+
+class Node:
+    """The parts of one node, wired together."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Builds the parts; nothing runs yet."""
+        self.settings = settings
+        clock = SystemClock()
+        rng = random.Random()
+        relay = settings.relay
+        now = clock.monotonic()
+        self.pool = Pool(relay.connect_ms, relay.idle_ms, POOLED_PER_ADDRESS)
+        self.balancer = Balancer(
+            settings.zone,
+            rng,
+            ramp_ms=relay.ramp_ms,
+            eject_ms=relay.eject_ms,
+            eject_percent=relay.eject_percent,
+        )
+        self.gate = Gate(Aging(settings.gate.aging_ms), settings.gate.queue)
+        self.queue = GateQueue(self.gate, clock)
+        self.agent = Agent(
+            settings.name,
+            settings.zone,
+            settings.listen,
+            settings.control.addresses,
+            self.balancer,
+            self.pool,
+            clock,
+            rng,
+            poll_ms=settings.distribution.poll_ms,
+            extra_services=relay.extra_services,
+            announce_lease_ms=ANNOUNCEMENTS_PER_LEASE
+            * settings.membership.announce_ms,
+        )
+        attempts = AttemptLog(
+            self.agent.incarnation, settings.gate.attempts, now
+        )
+        dispatcher = Dispatcher(
+            self.agent,
+            self.queue,
+            self.balancer,
+            attempts,
+            self.pool,
+            clock,
+            progress_ms=relay.progress_ms,
+            answer_bytes=settings.claims.answer_bytes,
+        )
+        claims = ClaimClient(
+            settings.control.addresses, self.pool, settings.claims.timeout_ms
+        )
+        once = OnceRunner(
+            dispatcher,
+            claims,
+            self.balancer,
+            clock,
+            rng,
+            tries=settings.retry.tries,
+            listen=settings.listen,
+            incarnation=self.agent.incarnation,
+        )
+        counters = Counters()
+        admin = Admin(
+            self.agent, self.balancer, self.gate, attempts, counters, clock
+        )
+        policy = RetryPolicy(
+            settings.retry.tries, settings.retry.backoff_ms, rng
+        )
+        self.relay = Relay(
+            self.agent,
+            self.balancer,
+            self.gate,
+            dispatcher,
+            once,
+            policy,
+            admin,
+            counters,
+            clock,
+            budget_percent=settings.retry.budget_percent,
+            budget_floor=settings.retry.budget_floor,
+        )
+        limits = ServerLimits(
+            relay.header_bytes, relay.body_bytes, relay.connections
+        )
+        self.server = Server(self.relay.handle, limits)
+        self.agent.on_changed.append(self._resize)
+
+    def _resize(self) -> None:
+        """Gives the gate the slots of the service beside this node."""
+        known = self.agent.backend.serving
+        service = known.service if known else ''
+        self.queue.resize(self.agent.routes.parts.get(service))
+        if self.agent.backend.draining:
+            self.queue.drain()
+        else:
+            self.gate.draining = False
+
+    async def run(self) -> None:
+        """Serves until SIGTERM or SIGINT, then stops gracefully."""
+        loop = asyncio.get_running_loop()
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        host, _, port = self.settings.listen.rpartition(':')
+        listener = await loop.create_server(
+            self.server.make_conn, host, int(port)
+        )
+        agent = asyncio.create_task(self.agent.run())
+        log.info('node started', extra={'listen': self.settings.listen})
+        await stop.wait()
+        await self._stop(listener, agent)
+        self.pool.close()
+
+    async def _stop(
+        self, listener: asyncio.Server, agent: 'asyncio.Task[None]'
+    ) -> None:
+        """Announces the drain, takes no new connection and lets calls end."""
+        self.agent.drain(draining=True)
+        await asyncio.sleep(DRAIN_NOTICE_S)
+        listener.close()
+        agent.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await agent
+        clean = await self.server.stop(self.settings.relay.stop_ms / MS)
+        await self.relay.idle()
+        await self.agent.leave()
+        log.info('node stopped', extra={'clean': clean})
+
+
+async def run_node(settings: Settings) -> None:
+    """Runs a node until it is stopped."""
+    await Node(settings).run()
--- /dev/null
+++ b/papayalock/ui/__init__.py
@@ -0,0 +1,81 @@
+"""The command-line tool; each command is one module."""
+
+import argparse
+import sys
+
+from papayalock.result import Code, PapayalockError
+from papayalock.ui import (
+    audit,
+    check,
+    diff,
+    drain,
+    explain,
+    held,
+    member,
+    show,
+    status,
+    submit,
+    versions,
+)
+
+COMMANDS = (
+    check,
+    submit,
+    versions,
+    show,
+    diff,
+    status,
+    explain,
+    held,
+    audit,
+    drain,
+    member,
+)
+EXIT_USAGE = 2
+EXIT_BY_CODE = {
+    Code.DONE: 0,
+    Code.CONFLICT: 3,
+    Code.INVALID: 4,
+    Code.NO_LEADER: 5,
+    Code.UNREACHABLE: 5,
+    Code.DISK_FULL: 6,
+    Code.CANNOT_KNOW: 7,
+    Code.CHAIN_BROKEN: 8,
+}
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Returns the parser with every command."""
+    parser = argparse.ArgumentParser(
+        prog='papayalock', description='Operates a papayalock mesh.'
+    )
+    parser.add_argument(
+        '--control',
+        default='127.0.0.1:7400',
+        metavar='IP:PORT[,IP:PORT]',
+        help='control VMs, tried in order (default %(default)s)',
+    )
+    commands = parser.add_subparsers(dest='command', required=True)
+    for module in COMMANDS:
+        name = module.__name__.rpartition('.')[2]
+        sub = commands.add_parser(
+            name,
+            help=module.HELP,
+            description=module.HELP,
+            epilog=f'example: {module.EXAMPLE}',
+        )
+        module.add_arguments(sub)
+        sub.set_defaults(run=module.run)
+    return parser
+
+
+def main() -> int:
+    """Runs one command; returns the exit status."""
+    args = build_parser().parse_args()
+    try:
+        return EXIT_BY_CODE.get(args.run(args), 1)
+    except PapayalockError as exc:
+        sys.stderr.write(f'papayalock: {exc}\n')
+        return EXIT_BY_CODE.get(exc.code, 1)
+    except (KeyboardInterrupt, BrokenPipeError):
+        return EXIT_USAGE
--- /dev/null
+++ b/papayalock/ui/audit.py
@@ -0,0 +1,73 @@
+"""Shows the audit trail and verifies its hash chain."""
+
+import argparse
+from typing import Any
+
+import msgspec
+
+from papayalock.core.audit import verify_chain
+from papayalock.messages import AuditRecord
+from papayalock.result import Code, PapayalockError
+from papayalock.ui.client import add_json, client_of, put, put_json
+from papayalock.ui.versions import time_text
+
+HELP = 'show the audit trail of changes'
+EXAMPLE = 'papayalock audit --verify'
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the arguments of this command."""
+    parser.add_argument(
+        '--verify',
+        action='store_true',
+        help='check the hash chain on every control VM',
+    )
+    add_json(parser)
+
+
+def run(args: argparse.Namespace) -> Code:
+    """Runs the command."""
+    client = client_of(args)
+    if args.verify:
+        return _verify(client.get_all('/v1/audit'))
+    page = client.get('/v1/audit')
+    if args.json:
+        put_json(page)
+        return Code.DONE
+    for record in msgspec.convert(page['records'], list[AuditRecord]):
+        put(_line(record))
+    return Code.DONE
+
+
+def _line(record: AuditRecord) -> str:
+    at = time_text(record.at_ms)
+    words = [record.kind, record.operator, record.detail]
+    return f'{record.index:>7} {at} v{record.version} {" ".join(words)}'
+
+
+def _verify(pages: list[dict[str, Any]]) -> Code:
+    if not pages:
+        raise PapayalockError(Code.UNREACHABLE, 'no control VM answers')
+    digests: dict[int, str] = {}
+    for page in pages:
+        records = msgspec.convert(page['records'], list[AuditRecord])
+        broken = verify_chain(records)
+        if broken is not None:
+            raise PapayalockError(
+                Code.CHAIN_BROKEN,
+                f'record {broken.index} does not fit its predecessor',
+            )
+        _compare(records, digests)
+    count = len(digests)
+    put(f'{count} records on {len(pages)} control VMs: whole and the same')
+    return Code.DONE
+
+
+def _compare(records: list[AuditRecord], digests: dict[int, str]) -> None:
+    for record in records:
+        known = digests.setdefault(record.index, record.digest)
+        if known != record.digest:
+            raise PapayalockError(
+                Code.CHAIN_BROKEN,
+                f'record {record.index} differs between control VMs',
+            )
--- /dev/null
+++ b/papayalock/ui/check.py
@@ -0,0 +1,27 @@
+"""Checks a register and rules without submitting them."""
+
+import argparse
+
+from papayalock.result import Code
+from papayalock.ui.client import put
+from papayalock.ui.files import add_files, read_inventory
+
+HELP = 'check a register and rules without submitting them'
+EXAMPLE = 'papayalock check register.toml rules.toml'
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the arguments of this command."""
+    add_files(parser)
+
+
+def run(args: argparse.Namespace) -> Code:
+    """Runs the command."""
+    inventory = read_inventory(args)
+    if inventory is None:
+        return Code.INVALID
+    register = inventory.register
+    services = len(register.services)
+    rules = len(inventory.rules.rules)
+    put(f'{register.mesh}: {services} services, {rules} rules, no errors')
+    return Code.DONE
--- /dev/null
+++ b/papayalock/ui/drain.py
@@ -0,0 +1,40 @@
+"""Drains the backend server beside a node."""
+
+import argparse
+import time
+
+from papayalock.result import Code
+from papayalock.ui.client import call, put
+
+HELP = 'stop sending new calls to the backend server beside a node'
+EXAMPLE = 'papayalock drain 10.0.0.7:7500 --wait 30'
+POLL_S = 0.1
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the arguments of this command."""
+    parser.add_argument('node', help='IP and port of the node')
+    parser.add_argument(
+        '--wait',
+        type=float,
+        default=0.0,
+        metavar='SECONDS',
+        help='wait until no call is in flight',
+    )
+    parser.add_argument(
+        '--undo', action='store_true', help='take new calls again'
+    )
+
+
+def run(args: argparse.Namespace) -> Code:
+    """Runs the command."""
+    call(args.node, 'POST', '/papayalock/drain', {'draining': not args.undo})
+    put('takes new calls' if args.undo else 'takes no new calls')
+    until = time.monotonic() + args.wait
+    while time.monotonic() < until:
+        running = call(args.node, 'GET', '/papayalock/status', None)['running']
+        if not running:
+            put('no call is in flight')
+            return Code.DONE
+        time.sleep(POLL_S)
+    return Code.UNREACHABLE if args.wait else Code.DONE
--- /dev/null
+++ b/papayalock/ui/submit.py
@@ -0,0 +1,146 @@
+"""Submits a register and rules as a new version."""
+
+import argparse
+import getpass
+import secrets
+import sys
+import time
+from typing import Any
+
+import msgspec
+
+from papayalock.core.derive import derive_parts, part_digest
+from papayalock.core.inventory import Inventory
+from papayalock.core.ledger import describe_change
+from papayalock.result import Code, PapayalockError
+from papayalock.ui.client import ControlClient, client_of, put
+from papayalock.ui.files import add_files, read_inventory
+from papayalock.ui.status import behind
+
+HELP = 'submit a register and rules as a new version'
+EXAMPLE = 'papayalock submit register.toml rules.toml --base 4 --yes --wait 30'
+RESENDS = 20
+RESEND_S = 0.25
+WAIT_POLL_S = 0.1
+PROGRESS_S = 1.0
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the arguments of this command."""
+    add_files(parser)
+    parser.add_argument(
+        '--base',
+        type=int,
+        help='version it was made from (default: the current one)',
+    )
+    parser.add_argument(
+        '--request',
+        help='request id, to resend a submission whose answer was lost',
+    )
+    parser.add_argument(
+        '--operator', default=getpass.getuser(), help='name for the audit trail'
+    )
+    parser.add_argument(
+        '--yes', action='store_true', help='submit without asking'
+    )
+    parser.add_argument(
+        '--wait',
+        type=float,
+        default=0.0,
+        metavar='SECONDS',
+        help='wait until in force everywhere',
+    )
+
+
+def run(args: argparse.Namespace) -> Code:
+    """Runs the command."""
+    inventory = read_inventory(args)
+    if inventory is None:
+        put('nothing was accepted')
+        return Code.INVALID
+    client = client_of(args)
+    base = _current(client) if args.base is None else args.base
+    put(f'change against version {base}: {_preview(client, base, inventory)}')
+    if not args.yes and not _confirmed():
+        put('not submitted')
+        return Code.DONE
+    answer = _send(client, inventory, args, base)
+    code = Code(answer['code'])
+    if code != Code.DONE:
+        put(f'{code.value} {code.name}: {answer["message"]}')
+        return code
+    put(f'accepted as version {answer["version"]}')
+    return (
+        _wait(client, int(answer['version']), args.wait) if args.wait else code
+    )
+
+
+def _current(client: ControlClient) -> int:
+    return max(
+        (int(one['version']) for one in client.get_all('/v1/status')), default=0
+    )
+
+
+def _preview(client: ControlClient, base: int, inventory: Inventory) -> str:
+    previous: dict[str, str] = {}
+    existing: list[str] = []
+    if base:
+        detail = client.get('/v1/version', version=base)
+        previous = detail['info']['parts']
+        existing = [
+            part['service'] for part in detail['parts'] if part['routes']
+        ]
+    parts = derive_parts(inventory, existing)
+    current = {name: part_digest(part) for name, part in parts.items()}
+    return describe_change(previous, current) or 'none'
+
+
+def _confirmed() -> bool:
+    sys.stdout.write('submit? [y/N] ')
+    sys.stdout.flush()
+    return sys.stdin.readline().strip().lower() in {'y', 'yes'}
+
+
+def _send(
+    client: ControlClient,
+    inventory: Inventory,
+    args: argparse.Namespace,
+    base: int,
+) -> Any:
+    body = {
+        'kind': 'submit',
+        'request': args.request or secrets.token_hex(8),
+        'base': base,
+        'operator': args.operator,
+        'register': msgspec.to_builtins(inventory.register),
+        'rules': msgspec.to_builtins(inventory.rules),
+    }
+    for attempt in range(RESENDS):
+        try:
+            return client.post('/v1/submit', body)
+        except PapayalockError as exc:
+            if (
+                exc.code not in {Code.NO_LEADER, Code.UNREACHABLE}
+                or attempt == RESENDS - 1
+            ):
+                raise
+            time.sleep(RESEND_S)
+    raise PapayalockError(Code.NO_LEADER, 'no leader answered')
+
+
+def _wait(client: ControlClient, version: int, seconds: float) -> Code:
+    started = time.monotonic()
+    told = started
+    while time.monotonic() - started < seconds:
+        late = behind(client.get_all('/v1/status'), version)
+        if late is not None and not late:
+            put(f'in force everywhere after {time.monotonic() - started:.2f} s')
+            return Code.DONE
+        if time.monotonic() - told > PROGRESS_S:
+            told = time.monotonic()
+            put(
+                f'waiting for {len(late or ())} nodes: {", ".join((late or [])[:5])}'
+            )
+        time.sleep(WAIT_POLL_S)
+    put(f'version {version} is accepted but not yet in force everywhere')
+    return Code.UNREACHABLE
--- /dev/null
+++ b/papayalock/wire.py
@@ -0,0 +1,455 @@
+"""A client connection for HTTP/1.1, one call at a time.
+
+The parser and the loop are libraries; this module keeps the rules that make
+answers trustworthy: an answer short of its length is an error, a connection
+with an unread answer is closed, and a caller learns whether any part of its
+body was sent.
+"""
+
+import asyncio
+import contextlib
+from collections import deque
+from dataclasses import dataclass
+
+import httptools
+
+from papayalock.result import Code
+
+MS = 1000  # milliseconds in a second
+PAUSE_BYTES = 65536  # unread answer bytes at which reading pauses
+MAX_HEADERS = 100
+MAX_HEAD_BYTES = 65536
+CONTINUE = 100
+FIRST_FINAL_STATUS = 200
+Headers = list[tuple[bytes, bytes]]
+
+
+class WireError(Exception):
+    """A call that did not end with a whole answer.
+
+    ``sent`` tells whether a part of the request may have been acted on.
+    """
+
+    def __init__(self, code: Code, message: str, *, sent: bool) -> None:
+        """Keeps the code and whether the request was sent."""
+        super().__init__(message)
+        self.code = code
+        self.sent = sent
+
+
+@dataclass(slots=True)
+class Request:
+    """A request ready to be written."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b''
+
+    def head(self) -> bytes:
+        """Returns the request line and headers."""
+        lines = [b'%s %s HTTP/1.1' % (self.method, self.target)]
+        lines.extend(b'%s: %s' % pair for pair in self.headers)
+        lines.append(b'content-length: %d\r\n\r\n' % len(self.body))
+        return b'\r\n'.join(lines)
+
+
+class Response:
+    """An answer whose body is read in pieces."""
+
+    __slots__ = ('headers', 'keep_alive', 'length', 'status', '_conn')
+
+    def __init__(
+        self, conn: 'ClientConn', status: int, headers: Headers
+    ) -> None:
+        """Takes over the head of an answer."""
+        self._conn = conn
+        self.status = status
+        self.headers = headers
+        self.length = _content_length(headers)
+        self.keep_alive = True
+
+    def header(self, name: bytes) -> bytes:
+        """Returns the first header of a lower-case name, or b''."""
+        return next(
+            (content for key, content in self.headers if key == name), b''
+        )
+
+    async def read(self) -> bytes:
+        """Returns the next piece of the body; b'' at its proven end.
+
+        :raises WireError: when the answer ends short of its length
+        """
+        return await self._conn.read_piece()
+
+    async def read_all(self, limit: int) -> bytes:
+        """Returns the whole body.
+
+        :raises WireError: when the answer is short or longer than ``limit``
+        """
+        pieces = []
+        size = 0
+        while piece := await self.read():
+            size += len(piece)
+            if size > limit:
+                self._conn.close()
+                raise WireError(
+                    Code.MESSAGE_TOO_LARGE, 'answer is too large', sent=True
+                )
+            pieces.append(piece)
+        return b''.join(pieces)
+
+
+def _content_length(headers: Headers) -> int | None:
+    for name, content in headers:
+        if name == b'content-length' and content.isdigit():
+            return int(content)
+    return None
+
+
+class ClientConn(asyncio.Protocol):
+    """One connection; after an error it is closed and never reused."""
+
+    def __init__(self) -> None:
+        """Starts unconnected."""
+        self.transport: asyncio.Transport | None = None
+        self.idle_since = 0.0
+        self.used = False
+        self.closed = False
+        self.progress = 0
+        self._headers: Headers = []
+        self._head_bytes = 0
+        self._pieces: deque[bytes] = deque()
+        self._buffered = 0
+        self._complete = True
+        self._failure: WireError | None = None
+        self._continued = False
+        self._response: Response | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._sent = False
+        self._paused = False
+        self._head_only = False
+        self._seen = 0
+        self._timeout = 0.0
+        self._parser = httptools.HttpResponseParser(self)
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another call may use the connection."""
+        return not self.closed and self._complete and not self._pieces
+
+    # Calls.
+
+    async def call(
+        self, req: Request, timeout_ms: int, *, expect: bool = False
+    ) -> Response:
+        """Sends a request and returns the head of its answer.
+
+        :param timeout_ms: longest wait without progress
+        :param expect: holds the body back until the far end asks for it
+        :raises WireError: when there is no answer
+        """
+        self._begin(timeout_ms)
+        self._head_only = req.method == b'HEAD'
+        if expect and req.body:
+            await self._send_expecting(req)
+        else:
+            self._write(req.head() + req.body)
+            self._sent = True
+        while self._response is None:
+            await self._wait()
+        return self._response
+
+    async def read_piece(self) -> bytes:
+        """Returns the next piece of the answer's body, or b'' at its end."""
+        while not self._pieces:
+            if self._complete:
+                self._end()
+                return b''
+            await self._wait()
+        piece = self._pieces.popleft()
+        self._buffered -= len(piece)
+        if (
+            self._paused
+            and self._buffered < PAUSE_BYTES // 2
+            and self.transport is not None
+        ):
+            self._paused = False
+            self.transport.resume_reading()
+        return piece
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self.closed = True
+        self._stop_timer()
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def _send_expecting(self, req: Request) -> None:
+        expecting = Request(
+            req.method,
+            req.target,
+            [*req.headers, (b'expect', b'100-continue')],
+            req.body,
+        )
+        self._write(expecting.head())
+        while self._response is None and not self._continued:
+            await self._wait()
+        if self._continued:
+            self._write(req.body)
+            self._sent = True
+        else:
+            self.closed = True
+
+    def _begin(self, timeout_ms: int) -> None:
+        if (
+            not self.reusable
+            or self.transport is None
+            or self.transport.is_closing()
+        ):
+            raise WireError(
+                Code.NOT_CONNECTED, 'connection is closed', sent=False
+            )
+        self._complete = False
+        self._response = None
+        self._continued = False
+        self._sent = False
+        self._headers = []
+        self._head_bytes = 0
+        self.used = True
+        self._timeout = timeout_ms / MS
+        self._start_timer()
+
+    def _write(self, data: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(data)
+
+    async def _wait(self) -> None:
+        if self._failure is not None:
+            raise self._failure
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        finally:
+            self._waiter = None
+        if self._failure is not None:
+            raise self._failure
+
+    def _end(self) -> None:
+        self._stop_timer()
+        response = self._response
+        if response is not None and not response.keep_alive:
+            self.close()
+
+    # Progress is judged by bytes: the timer only fails a call that got none.
+
+    def _start_timer(self) -> None:
+        self._seen = self.progress
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._timeout, self._on_timer)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_timer(self) -> None:
+        if self._complete:
+            return
+        if self.progress != self._seen or self._paused:
+            self._start_timer()
+            return
+        code = Code.UNKNOWN_TIMEOUT if self._sent else Code.NOT_CONNECTED
+        self._fail(code, 'no progress')
+
+    def _fail(self, code: Code, message: str) -> None:
+        if self._failure is None:
+            self._failure = WireError(code, message, sent=self._sent)
+        self.close()
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        self.transport = transport  # type: ignore[assignment]
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails a call that is under way."""
+        self.closed = True
+        self._stop_timer()
+        if not self._complete:
+            code = Code.UNKNOWN_BROKEN if self._sent else Code.NOT_CONNECTED
+            if self._response is not None:
+                code = Code.INCOMPLETE_ANSWER
+            self._fail(code, 'connection was lost')
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser; bytes outside a call are an error."""
+        self.progress += 1
+        if self._complete:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            code = Code.INCOMPLETE_ANSWER if self._sent else Code.NOT_CONNECTED
+            self._fail(code, f'unreadable answer: {exc}')
+        self._wake()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Refuses a second answer to one request."""
+        if self._complete:
+            self.close()
+        self._headers = []
+
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Collects one header within bounds."""
+        self._head_bytes += len(name) + len(content)
+        if (
+            len(self._headers) >= MAX_HEADERS
+            or self._head_bytes > MAX_HEAD_BYTES
+        ):
+            self._fail(Code.INCOMPLETE_ANSWER, 'answer has too many headers')
+            return
+        self._headers.append((name.lower(), content))
+
+    def on_headers_complete(self) -> None:
+        """Builds the response once its head is whole."""
+        status = self._parser.get_status_code()
+        if status < FIRST_FINAL_STATUS:
+            self._continued = self._continued or status == CONTINUE
+            return
+        response = Response(self, status, self._headers)
+        response.keep_alive = self._parser.should_keep_alive()
+        self._response = response
+        if self._head_only:
+            response.keep_alive = False
+            self._complete = True
+
+    def on_body(self, body: bytes) -> None:
+        """Buffers a piece and pauses reading when the caller is slow."""
+        self._pieces.append(body)
+        self._buffered += len(body)
+        if (
+            self._buffered > PAUSE_BYTES
+            and not self._paused
+            and self.transport is not None
+        ):
+            self._paused = True
+            self.transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Marks the answer as whole."""
+        if self._response is not None:
+            self._complete = True
+            self.idle_since = asyncio.get_running_loop().time()
+
+
+async def connect(address: str, timeout_ms: int) -> ClientConn:
+    """Opens a connection.
+
+    :param address: IP and port
+    :raises WireError: ``NOT_CONNECTED`` when it cannot be opened in time
+    """
+    host, _, port = address.rpartition(':')
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_ms / MS):
+            _, conn = await loop.create_connection(ClientConn, host, int(port))
+    except (OSError, TimeoutError, ValueError) as exc:
+        raise WireError(
+            Code.NOT_CONNECTED, f'{address}: {exc}', sent=False
+        ) from exc
+    return conn
+
+
+class Pool:
+    """Idle connections by address."""
+
+    def __init__(self, connect_ms: int, idle_ms: int, per_address: int) -> None:
+        """Starts empty.
+
+        :param connect_ms: longest wait for a new connection
+        :param idle_ms: idle time after which a connection is closed
+        :param per_address: idle connections kept for one address
+        """
+        self._connect_ms = connect_ms
+        self._idle = idle_ms / MS
+        self._keep = per_address
+        self._free: dict[str, list[ClientConn]] = {}
+
+    async def take(self, address: str, *, fresh: bool = False) -> ClientConn:
+        """Returns an idle connection, or opens one.
+
+        :param fresh: never returns one that was used before
+        :raises WireError: ``NOT_CONNECTED``
+        """
+        idle = self._free.get(address, [])
+        now = asyncio.get_running_loop().time()
+        while idle and not fresh:
+            conn = idle.pop()
+            if conn.reusable and now - conn.idle_since < self._idle:
+                return conn
+            conn.close()
+        return await connect(address, self._connect_ms)
+
+    def give(self, address: str, conn: ClientConn) -> None:
+        """Takes a connection back, or closes it when it is not reusable."""
+        idle = self._free.setdefault(address, [])
+        if conn.reusable and len(idle) < self._keep:
+            idle.append(conn)
+        else:
+            conn.close()
+
+    def drop(self, address: str) -> None:
+        """Closes the idle connections of an address."""
+        for conn in self._free.pop(address, ()):
+            conn.close()
+
+    def close(self) -> None:
+        """Closes every idle connection."""
+        for address in list(self._free):
+            self.drop(address)
+
+    async def exchange(
+        self, address: str, req: Request, timeout_ms: int, limit: int
+    ) -> tuple[int, bytes]:
+        """Makes one whole call and returns its status and body.
+
+        :raises WireError: when there is no whole answer
+        """
+        conn = await self.take(address)
+        whole = False
+        try:
+            async with asyncio.timeout(timeout_ms / MS):
+                response = await conn.call(req, timeout_ms)
+                body = await response.read_all(limit)
+            whole = True
+        except TimeoutError as exc:
+            raise WireError(
+                Code.UNKNOWN_TIMEOUT, f'{address}: no answer in time', sent=True
+            ) from exc
+        finally:
+            if whole:
+                self.give(address, conn)
+            else:
+                with contextlib.suppress(RuntimeError):
+                    conn.close()
+        return response.status, body
+
+
+def json_request(method: bytes, target: str, host: str, body: bytes) -> Request:
+    """Returns a request with a JSON body."""
+    headers = [(b'host', host.encode()), (b'content-type', b'application/json')]
+    return Request(method, target.encode(), headers, body)
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; each module mirrors one of the package."""
--- /dev/null
+++ b/test/test_replog.py
@@ -0,0 +1,175 @@
+"""Elections, replication and membership of the replicated log."""
+
+import pytest
+
+from papayalock.commands import encode_command
+from papayalock.messages import Member, SetMember
+from test.cluster import Cluster
+
+ZONES = {'a': 'z1', 'b': 'z2', 'c': 'z3'}
+NOOP = '{"kind":"noop"}'
+
+
+class TestElection:
+    def test_one_leader_is_elected(self):
+        cluster = Cluster(ZONES, seed=1)
+        cluster.run(2)
+        assert sum(one.replica.is_leader for one in cluster.peers.values()) == 1
+
+    def test_no_leader_without_a_quorum(self):
+        cluster = Cluster(ZONES, seed=2)
+        cluster.crash('b')
+        cluster.crash('c')
+        cluster.run(3)
+        assert cluster.leader() is None
+        assert cluster.peers['a'].replica.term == 0
+
+    def test_leader_on_the_far_side_of_a_silent_cut_steps_down(self):
+        cluster = Cluster(ZONES, seed=3)
+        cluster.run(2)
+        old = cluster.leader().replica
+        cluster.isolate(old.cfg.name)
+        cluster.run(2)
+        assert not old.is_leader
+        assert not old.has_lease(cluster.now)
+        assert cluster.leader().replica.cfg.name != old.cfg.name
+
+    def test_returning_replica_does_not_depose_the_leader(self):
+        cluster = Cluster(ZONES, seed=4)
+        cluster.run(2)
+        leader = cluster.leader().replica
+        other = next(name for name in ZONES if name != leader.cfg.name)
+        cluster.isolate(other)
+        cluster.run(5)
+        term = leader.term
+        cluster.heal()
+        cluster.run(2)
+        assert leader.is_leader
+        assert leader.term == term
+
+    def test_vote_survives_a_crash(self):
+        cluster = Cluster(ZONES, seed=5)
+        cluster.run(2)
+        before = {name: one.replica.term for name, one in cluster.peers.items()}
+        for name in ZONES:
+            cluster.crash(name)
+        for name in ZONES:
+            cluster.start(name)
+        assert {
+            name: one.replica.term for name, one in cluster.peers.items()
+        } == before
+
+
+class TestReplication:
+    def test_committed_entry_survives_the_loss_of_its_leader(self):
+        cluster = Cluster(ZONES, seed=6)
+        cluster.run(2)
+        index = cluster.propose(NOOP)
+        cluster.run(1)
+        cluster.crash(cluster.leader().replica.cfg.name)
+        cluster.run(3)
+        leader = cluster.leader()
+        assert leader.replica.commit >= index
+        cluster.check_logs()
+
+    def test_lagging_replica_catches_up_by_snapshot(self):
+        cluster = Cluster(ZONES, seed=7)
+        cluster.run(2)
+        leader = cluster.leader()
+        other = next(name for name in ZONES if name != leader.replica.cfg.name)
+        cluster.crash(other)
+        for _ in range(300):
+            cluster.propose(NOOP)
+            cluster.step()
+        cluster.run(1)
+        leader.storage.save_snapshot(
+            leader.replica.compact('{}', leader.replica.applied), []
+        )
+        cluster.start(other)
+        cluster.run(3)
+        assert cluster.peers[other].replica.commit == leader.replica.commit
+        assert cluster.peers[other].replica.log.snapshot.index > 0
+
+    @pytest.mark.parametrize('seed', range(12))
+    def test_logs_agree_under_faults(self, seed):
+        cluster = Cluster(ZONES, seed=seed)
+        cluster.loss = 0.1
+        cluster.repeat = 0.1
+        cluster.delay = 0.1
+        down: set[str] = set()
+        for round_number in range(40):
+            fault = cluster.rng.randrange(5)
+            name = cluster.rng.choice(sorted(ZONES))
+            if fault == 0 and not down:
+                cluster.crash(name)
+                down.add(name)
+            elif fault == 1 and down:
+                cluster.start(down.pop())
+            elif fault == 2:
+                cluster.isolate(name)
+            elif fault == 3:
+                cluster.heal()
+            cluster.propose(f'{{"kind":"noop","round":{round_number}}}')
+            cluster.run(0.3)
+            cluster.check_logs()
+        cluster.heal()
+        for name in down:
+            cluster.start(name)
+        cluster.run(5)
+        assert len({one.replica.commit for one in cluster.peers.values()}) == 1
+
+
+def change(action: str, member: str, zone: str = 'z1') -> str:
+    command = SetMember(
+        kind='member',
+        request='',
+        action=action,
+        member=Member(member=member, zone=zone, address=member),
+    )
+    return encode_command(command)
+
+
+class TestMembers:
+    def test_lost_disk_returns_as_a_learner_and_is_promoted(self):
+        cluster = Cluster(ZONES, seed=8)
+        cluster.run(2)
+        lost = next(
+            name for name in ZONES if name != cluster.leader().replica.cfg.name
+        )
+        cluster.crash(lost)
+        index = cluster.propose(NOOP)
+        cluster.run(1)
+        cluster.disks['d'] = type(cluster.disks[lost])()
+        cluster.members = []
+        cluster.start('d')
+        cluster.propose(change('add', 'd', ZONES[lost]))
+        cluster.run(1)
+        assert not cluster.peers['d'].replica.me.voter
+        assert cluster.peers['d'].replica.commit >= index
+        cluster.propose(change('promote', 'd'))
+        cluster.run(1)
+        cluster.propose(change('remove', lost))
+        cluster.run(1)
+        assert sorted(
+            one.member
+            for one in cluster.leader().replica.log.members
+            if one.voter
+        ) == sorted({*ZONES, 'd'} - {lost})
+        second = cluster.leader().replica.cfg.name
+        cluster.crash(second)
+        cluster.run(3)
+        assert cluster.leader().replica.commit >= index
+        cluster.check_logs()
+
+    def test_learner_never_votes(self):
+        cluster = Cluster(ZONES, seed=9, learners=('c',))
+        cluster.run(2)
+        cluster.crash(
+            next(
+                name
+                for name in 'ab'
+                if name != cluster.leader().replica.cfg.name
+            )
+        )
+        cluster.run(3)
+        assert cluster.leader() is None
