Offer restarted nodes only what no predecessor can have passed

Cause: a restarted node knows nothing of what its predecessor applied, so a control VM that is fenced, lagging or cut off could offer an older version. Change: the decision is a pure part (FreshRequest, offer_without_lease). It offers under a serving lease once the release reached what was durable at the request, else only when all control VMs of the zone answer. A fenced leader has no lease; a VM that missed a member change gets none. Endpoint records are ordered by incarnation, sequence and origin, and only a record that says 'left' is contradicted by the VM that hears the node.

--- a/papayalock/control/control.py
+++ b/papayalock/control/control.py
@@ -13,7 +13,7 @@
 from papayalock.core.claims import Claims, shard_of
 from papayalock.core.ledger import Ledger
 from papayalock.core.membership import ExistenceTracker
-from papayalock.core.release import serves
+from papayalock.core.zones import serves
 from papayalock.messages import (
     Claim,
     ClaimRes,
--- a/papayalock/control/zone.py
+++ b/papayalock/control/zone.py
@@ -19,8 +19,11 @@
 from papayalock.core.ledger import Ledger
 from papayalock.core.membership import EndpointTable
 from papayalock.core.release import (
+    FreshRequest,
+    Offer,
     Redirect,
     Refusal,
+    Waiting,
     offer_without_lease,
 )
 from papayalock.messages import (
@@ -208,16 +211,17 @@
             self.wake()
 
     async def _fresh_allowed(self, zone: str) -> bool:
-        """Waits until the release covers what was durable when the node asked."""
+        """Waits until a restarted node may be offered the release."""
         replica = self._group.replica
-        floor = replica.durable_commit
+        request = FreshRequest(zone, replica)
         give_up = self._clock.monotonic() + FRESH_WAIT_S
-        while self._clock.monotonic() < give_up:
-            if not replica.has_lease(self._clock.monotonic()):
-                return False
-            if min(replica.releases.get(zone, 0), replica.applied) >= floor:
-                return True
+        now = self._clock.monotonic()
+        while now < give_up:
+            answer = request.check(replica, now)
+            if not isinstance(answer, Waiting):
+                return isinstance(answer, Offer)
             await asyncio.sleep(STEP_S)
+            now = self._clock.monotonic()
         return False
 
     async def _answer_fresh(self, req: SyncReq) -> Reply:
--- a/papayalock/core/leading.py
+++ b/papayalock/core/leading.py
@@ -1,7 +1,7 @@
 """The leader's side: replication, commit, serving leases and releases."""
 
-from papayalock.core.release import release_points
 from papayalock.core.replica import MS, Progress, ReplicaState
+from papayalock.core.zones import release_points
 from papayalock.messages import PeerMessage
 
 
--- a/papayalock/core/membership.py
+++ b/papayalock/core/membership.py
@@ -63,26 +63,30 @@
     def merge(self, endpoint: Endpoint) -> bool:
         """Takes in what a peer knows.
 
-        A newer record of a server that is attached here is answered by a
-        still newer one, since the node itself is heard.
+        That an attached server left is answered by a newer record, since
+        the node itself is heard. Any other newer record means that the node
+        reports to another control VM now.
 
         :returns: whether readers must learn of it
         """
         known = self._known.get(endpoint.server)
         if known is not None and _order(endpoint) <= _order(known):
             return False
-        if (
-            endpoint.server in self._leases
-            and known is not None
-            and endpoint.incarnation == known.incarnation
-        ):
-            known.sequence = endpoint.sequence + 1
-            self._store(known)
+        if known is not None and self._is_wrong(endpoint, known):
+            self._store(
+                msgspec.structs.replace(known, sequence=endpoint.sequence + 1)
+            )
             return True
         self._leases.pop(endpoint.server, None)
         self._store(endpoint)
         return True
 
+    def _is_wrong(self, endpoint: Endpoint, known: Endpoint) -> bool:
+        """Whether a peer says that a server left which is heard here."""
+        same = endpoint.incarnation == known.incarnation
+        heard = endpoint.server in self._leases
+        return same and heard and endpoint.state == LEFT
+
     def expire(self, now: float) -> list[str]:
         """Marks the endpoints whose leases ran out as left; returns their names."""
         late = [name for name, until in self._leases.items() if until <= now]
@@ -157,8 +161,8 @@
             self._known.pop(name)
 
 
-def _order(endpoint: Endpoint) -> tuple[int, int]:
-    return endpoint.incarnation, endpoint.sequence
+def _order(endpoint: Endpoint) -> tuple[int, int, str]:
+    return endpoint.incarnation, endpoint.sequence, endpoint.origin
 
 
 class ExistenceTracker:
--- a/papayalock/core/release.py
+++ b/papayalock/core/release.py
@@ -1,42 +1,14 @@
-"""Decides which committed versions a control VM may hand to nodes.
-
-A node has no disk, so after a restart it must be offered at least what its
-predecessor applied. An index is therefore released into an availability zone
-only once every unfenced control VM that serves the zone holds it, and the
-commit mark above it, durably.
-"""
+"""Decides what a control VM may offer to a node that restarted."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from papayalock.messages import Member, ZoneReport
+from papayalock.core.replica import ReplicaState
+from papayalock.core.zones import serves
+from papayalock.messages import ZoneReport
 from papayalock.result import Code
 
 
-def serves(member: Member, zone: str) -> bool:
-    """Whether an unfenced control VM hands out versions in a zone."""
-    return not member.fenced and (member.zone == zone or zone in member.adopts)
-
-
-def release_points(
-    members: list[Member], commits: dict[str, int]
-) -> dict[str, int]:
-    """Returns the released index by availability zone.
-
-    :param members: the committed member set
-    :param commits: durable commit index by control VM; absent counts as 0
-    """
-    zones = {zone for one in members for zone in (one.zone, *one.adopts)}
-    points: dict[str, int] = {}
-    for zone in zones:
-        held = [
-            commits.get(one.member, 0) for one in members if serves(one, zone)
-        ]
-        if held:
-            points[zone] = min(held)
-    return points
-
-
 @dataclass(slots=True, frozen=True)
 class Offer:
     """Released index that may be offered to a restarted node."""
@@ -62,6 +34,18 @@
 FreshAnswer = Offer | Redirect | Refusal
 
 
+def zone_report(replica: ReplicaState, zone: str) -> ZoneReport:
+    """Returns what a replica can say about the release of a zone."""
+    view = replica.log.view_at(replica.durable_commit)
+    return ZoneReport(
+        member=replica.cfg.name,
+        durable_commit=replica.durable_commit,
+        released=replica.releases.get(zone, 0),
+        view_index=view.index,
+        members=view.members,
+    )
+
+
 def offer_without_lease(
     own: str, zone: str, reports: Iterable[ZoneReport]
 ) -> FreshAnswer:
@@ -93,3 +77,39 @@
     return Offer(
         max(floor, *(report.released for report in by_member.values()))
     )
+
+
+@dataclass(slots=True, frozen=True)
+class Waiting:
+    """The release has not yet reached what was durable at the request."""
+
+
+@dataclass(slots=True, frozen=True)
+class Unleased:
+    """No serving lease runs, so the peers of the zone must be asked."""
+
+
+class FreshRequest:
+    """A restarted node's request, from its arrival to its answer.
+
+    A predecessor of the node cannot have applied more than this control VM
+    held durably when the request arrived, because this VM's own mark bounds
+    the release of its zone for as long as it is not fenced. So the release is
+    offered only once it has reached that floor, and only under a lease.
+    """
+
+    __slots__ = ('_floor', '_zone')
+
+    def __init__(self, zone: str, replica: ReplicaState) -> None:
+        """Notes what is durable now."""
+        self._zone = zone
+        self._floor = replica.durable_commit
+
+    def check(
+        self, replica: ReplicaState, now: float
+    ) -> Offer | Waiting | Unleased:
+        """Returns what can be answered now."""
+        if not replica.has_lease(now):
+            return Unleased()
+        released = min(replica.releases.get(self._zone, 0), replica.applied)
+        return Offer(released) if released >= self._floor else Waiting()
--- a/papayalock/core/replica.py
+++ b/papayalock/core/replica.py
@@ -186,7 +186,14 @@
         )
 
     def has_lease(self, now: float) -> bool:
-        """Whether the leader's serving lease still runs."""
+        """Whether the leader's serving lease still runs.
+
+        A fenced VM has none, even when it leads: its own commit mark no
+        longer bounds what its zone's nodes were offered.
+        """
+        me = self.me
+        if me is None or me.fenced:
+            return False
         if self.is_leader:
             return self._quorum_heard(now)
         return now < self.lease_until
--- /dev/null
+++ b/test/test_distribute.py
@@ -0,0 +1,145 @@
+"""What nodes are sent: scope, deltas, coalescing and storm admission."""
+
+import random
+
+import msgspec
+
+from papayalock.core.apply import Configuration
+from papayalock.core.distribute import (
+    Admission,
+    Coalescer,
+    DeltaSource,
+    Held,
+    held_of,
+)
+from papayalock.messages import Delta, SyncReq
+from test.inventories import LedgerDriver, example, with_slots
+
+OKWUOSA = example('okwuosa')
+
+
+def applied(
+    driver: LedgerDriver, service: str, extra: tuple[str, ...] = ()
+) -> tuple[Configuration, Held]:
+    source = DeltaSource(driver.ledger)
+    configuration = Configuration()
+    info = driver.ledger.info(driver.ledger.version)
+    configuration.apply(
+        decoded(source, Held(service, extra, 0, '', '', ()), info)
+    )
+    return configuration, Held(
+        service,
+        extra,
+        configuration.version,
+        configuration.digest,
+        service,
+        extra,
+    )
+
+
+def decoded(source: DeltaSource, held: Held, info) -> Delta:
+    return msgspec.json.decode(source.delta(held, info), type=Delta)
+
+
+class TestScope:
+    def test_a_node_holds_its_service_and_what_it_calls(self):
+        driver = LedgerDriver()
+        driver.submit(OKWUOSA)
+        configuration, _ = applied(driver, 'auction-floor')
+        assert set(configuration.parts) == {
+            'auction-floor',
+            'lot-catalogue',
+            'valuation',
+        }
+        configuration, _ = applied(driver, 'lot-catalogue')
+        assert set(configuration.parts) == {'lot-catalogue'}
+
+    def test_a_subscription_widens_the_scope_by_one_part(self):
+        driver = LedgerDriver()
+        driver.submit(OKWUOSA)
+        source = DeltaSource(driver.ledger)
+        configuration, held = applied(driver, 'lot-catalogue')
+        wider = Held(
+            'lot-catalogue',
+            ('valuation',),
+            held.version,
+            held.digest,
+            'lot-catalogue',
+            (),
+        )
+        delta = decoded(source, wider, driver.ledger.info(1))
+        assert delta.base == 1
+        assert [one.service for one in delta.parts] == ['valuation']
+        configuration.apply(delta)
+        assert set(configuration.parts) == {'lot-catalogue', 'valuation'}
+
+
+class TestDelta:
+    def test_unchanged_parts_are_not_sent_again(self):
+        driver = LedgerDriver()
+        driver.submit(OKWUOSA)
+        _, held = applied(driver, 'auction-floor')
+        driver.exist('valuation')
+        delta = decoded(DeltaSource(driver.ledger), held, driver.ledger.info(2))
+        assert [one.service for one in delta.parts] == ['valuation']
+
+    def test_versions_passed_by_are_coalesced(self):
+        driver = LedgerDriver()
+        driver.submit(OKWUOSA)
+        configuration, held = applied(driver, 'lot-catalogue')
+        for slots in (3, 4, 5):
+            driver.submit(with_slots(OKWUOSA, slots))
+        delta = decoded(DeltaSource(driver.ledger), held, driver.ledger.info(4))
+        configuration.apply(delta)
+        assert configuration.version == 4
+        assert configuration.parts['lot-catalogue'].slots == 5
+
+    def test_a_node_behind_the_history_gets_a_snapshot(self):
+        driver = LedgerDriver(history=3)
+        driver.submit(OKWUOSA)
+        configuration, held = applied(driver, 'lot-catalogue')
+        for slots in range(2, 9):
+            driver.submit(with_slots(OKWUOSA, slots))
+        source = DeltaSource(driver.ledger)
+        assert source.base(held) is None
+        delta = decoded(source, held, driver.ledger.info(driver.ledger.version))
+        assert delta.base == 0
+        configuration.apply(delta)
+        assert configuration.parts['lot-catalogue'].slots == 8
+
+    def test_a_wrong_digest_gets_a_snapshot(self):
+        driver = LedgerDriver()
+        driver.submit(OKWUOSA)
+        req = SyncReq(
+            node='n',
+            zone='z',
+            service='valuation',
+            incarnation=1,
+            version=1,
+            digest='other',
+        )
+        assert DeltaSource(driver.ledger).base(held_of(req)) is None
+
+
+class TestCoalescer:
+    def test_wake_ups_are_spaced_and_the_newest_is_never_skipped(self):
+        coalescer = Coalescer(500)
+        assert coalescer.released(10.0) == 10.0
+        coalescer.woken(10.0)
+        assert coalescer.released(10.1) == 10.5
+        assert coalescer.released(10.4) == 10.5
+        coalescer.woken(10.5)
+        assert coalescer.released(11.5) == 11.5
+
+
+class TestAdmission:
+    def test_a_storm_is_admitted_at_a_bounded_rate(self):
+        admission = Admission(10, 1000, random.Random(1), 0.0)
+        admitted = sum(admission.enter(step / 1000) for step in range(5000))
+        assert 50 <= admitted <= 60
+
+    def test_refused_nodes_are_spread(self):
+        admission = Admission(1, 1000, random.Random(1), 0.0)
+        delays = {admission.retry_after_ms() for _ in range(200)}
+        assert len(delays) > 150
+        assert 1 <= min(delays) <= max(delays) <= 1000
--- /dev/null
+++ b/test/test_ledger.py
@@ -0,0 +1,109 @@
+"""Acceptance: racing operators, resends, existence and snapshots."""
+
+from papayalock.core.inventory import Inventory
+from papayalock.core.ledger import Ledger
+from papayalock.messages import Rule, Rules
+from papayalock.result import Code
+from test.inventories import LedgerDriver, example, submission, with_slots
+
+QURESHI = example('qureshi')
+
+
+class TestRacingOperators:
+    def test_one_of_two_with_equal_base_wins(self):
+        driver = LedgerDriver()
+        first = driver.submit(QURESHI, base=0, request='a')
+        second = driver.submit(with_slots(QURESHI, 3), base=0, request='b')
+        assert (first.code, first.version) == (Code.DONE, 1)
+        assert (second.code, second.version) == (Code.CONFLICT, 1)
+        assert driver.ledger.inventory.register.services[0].slots == 9
+
+    def test_a_resend_gets_the_first_answer(self):
+        driver = LedgerDriver()
+        first = driver.submit(QURESHI, base=0, request='a')
+        driver.submit(with_slots(QURESHI, 3), request='b')
+        again = driver.submit(QURESHI, base=0, request='a')
+        assert again == first
+        assert driver.ledger.version == 2
+
+    def test_a_resent_conflict_stays_a_conflict(self):
+        driver = LedgerDriver()
+        driver.submit(QURESHI, base=0)
+        lost = driver.submit(QURESHI, base=0, request='x')
+        driver.submit(with_slots(QURESHI, 2))
+        assert driver.submit(QURESHI, base=0, request='x') == lost
+
+    def test_a_request_id_is_not_taken_for_another_submission(self):
+        driver = LedgerDriver()
+        driver.submit(QURESHI, base=0, request='a')
+        other = driver.submit(with_slots(QURESHI, 3), base=1, request='a')
+        assert other.code == Code.REQUEST_REUSED
+        assert driver.ledger.version == 1
+
+    def test_an_invalid_document_is_refused_as_a_whole(self):
+        driver = LedgerDriver()
+        driver.submit(QURESHI)
+        bad = Inventory(
+            QURESHI.register,
+            Rules(
+                rules=[
+                    Rule(name='x', action='slots', service='missing', value=1)
+                ]
+            ),
+        )
+        answer = driver.submit(bad)
+        assert answer.code == Code.INVALID
+        assert answer.problems[0].code == Code.MISSING_SERVICE
+        assert driver.ledger.version == 1
+
+
+class TestExistence:
+    def test_routes_follow_existence(self):
+        driver = LedgerDriver()
+        driver.submit(QURESHI)
+        parts = driver.ledger.parts_of(driver.ledger.info(1))
+        assert not parts['enrol-desk'].routes
+        driver.exist('enrol-desk')
+        parts = driver.ledger.parts_of(driver.ledger.info(2))
+        assert parts['enrol-desk'].routes
+        assert not parts['rider-ledger'].routes
+
+    def test_unchanged_existence_makes_no_version(self):
+        driver = LedgerDriver()
+        driver.submit(QURESHI)
+        driver.exist('enrol-desk')
+        driver.exist('enrol-desk')
+        assert driver.ledger.version == 2
+
+
+class TestSnapshot:
+    def test_a_loaded_ledger_goes_on_alike(self):
+        driver = LedgerDriver()
+        driver.submit(QURESHI, request='a')
+        driver.exist('enrol-desk')
+        copy = LedgerDriver()
+        copy.ledger.load(driver.ledger.dump())
+        copy.index = driver.index
+        for each in (driver, copy):
+            each.submit(with_slots(QURESHI, 4), request='b')
+            each.submit(QURESHI, base=0, request='a')
+        assert copy.ledger.dump() == driver.ledger.dump()
+
+    def test_history_and_parts_are_bounded(self):
+        driver = LedgerDriver(history=5)
+        for number in range(40):
+            driver.submit(with_slots(QURESHI, number + 1))
+        assert len(driver.ledger.versions) == 5
+        assert len(driver.ledger.parts) <= 10
+        assert driver.ledger.info(35) is None
+        assert driver.ledger.info(36).version == 36
+
+    def test_version_at_an_index(self):
+        ledger = Ledger(history=9, audit_records=9)
+        for index, base in ((3, 0), (7, 1)):
+            ledger.apply(
+                index, submission(with_slots(QURESHI, index), base, f'r{index}')
+            )
+        assert ledger.version_at(2) is None
+        assert ledger.version_at(6).version == 1
+        assert ledger.version_at(7).version == 2
--- /dev/null
+++ b/test/test_release.py
@@ -0,0 +1,340 @@
+"""No node ever goes back, whatever restarts and whatever is cut off."""
+
+import pytest
+
+from papayalock.commands import encode_command
+from papayalock.core.release import (
+    FreshRequest,
+    Offer,
+    Redirect,
+    Refusal,
+    Unleased,
+    offer_without_lease,
+    zone_report,
+)
+from papayalock.messages import Member, SetMember, ZoneReport
+from test.cluster import Cluster
+
+ZONES = {'a': 'z1', 'b': 'z1', 'c': 'z2', 'd': 'z2', 'e': 'z3'}
+LEARNERS = ('b', 'd')
+
+
+class Node:
+    """A node without a disk: what it applied is kept only for the check."""
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.running = 0  # 0 after a restart
+        self.highest = 0
+        self.request: tuple[str, FreshRequest] | None = None
+
+    def restart(self) -> None:
+        self.running = 0
+        self.request = None
+
+    def take(self, index: int) -> None:
+        if index <= self.running:
+            return
+        assert index >= self.highest, (
+            f'went back from {self.highest} to {index}'
+        )
+        self.running = index
+        self.highest = index
+
+
+class Mesh:
+    """A cluster with nodes that ask any control VM of their zone."""
+
+    def __init__(self, seed: int) -> None:
+        self.cluster = Cluster(ZONES, seed=seed, learners=LEARNERS)
+        self.rng = self.cluster.rng
+        self.nodes = [Node(zone) for zone in ('z1', 'z1', 'z2', 'z2', 'z3')]
+        self.asked = 0
+        self.offered = 0
+        self.fencing: tuple[str, float] | None = None
+
+    def poll(self, node: Node) -> None:
+        names = [name for name, zone in ZONES.items() if zone == node.zone]
+        name = self.rng.choice(names)
+        peer = self.cluster.peers.get(name)
+        if peer is None:
+            node.request = None
+            return
+        replica = peer.replica
+        released = min(replica.releases.get(node.zone, 0), replica.applied)
+        if node.running:
+            node.take(released)
+            return
+        self._poll_fresh(node, name)
+
+    def _poll_fresh(self, node: Node, name: str) -> None:
+        replica = self.cluster.peers[name].replica
+        if node.request is None or node.request[0] != name:
+            node.request = (name, FreshRequest(node.zone, replica))
+            self.asked += 1
+        answer = node.request[1].check(replica, self.cluster.now)
+        if isinstance(answer, Unleased):
+            node.request = None
+            answer = self._ask_zone(node.zone, name)
+        if isinstance(answer, Offer):
+            replica.releases[node.zone] = max(
+                answer.index, replica.releases.get(node.zone, 0)
+            )
+            self.offered += 1
+            node.take(answer.index)
+
+    def _ask_zone(self, zone: str, name: str):
+        peers = self.cluster.peers
+        reports = [
+            zone_report(peers[other].replica, zone)
+            for other, its in ZONES.items()
+            if its == zone
+            and other in peers
+            and frozenset((name, other)) not in self.cluster.cut
+        ]
+        return offer_without_lease(name, zone, reports)
+
+    def fence(self, name: str) -> None:
+        leader = self.cluster.leader()
+        if (
+            leader is None
+            or self.fencing
+            or not leader.replica.change_allowed()
+        ):
+            return
+        leader.replica.stop_leases(name)
+        self.fencing = (name, leader.replica.term)
+
+    def change(self, action: str, name: str) -> None:
+        leader = self.cluster.leader()
+        if leader is None or not leader.replica.change_allowed():
+            return
+        command = SetMember(
+            kind='member',
+            request='',
+            action=action,
+            member=Member(member=name, zone=ZONES[name], address=name),
+        )
+        leader.replica.propose([encode_command(command)], self.cluster.now)
+        self.cluster.settle(leader)
+
+    def continue_fencing(self) -> None:
+        if self.fencing is None:
+            return
+        name, term = self.fencing
+        leader = self.cluster.leader()
+        if leader is None or leader.replica.term != term:
+            self.fencing = None
+        elif self.cluster.now >= leader.replica.fence_allowed_at(name):
+            self.change('fence', name)
+            leader.replica.resume_leases(name)
+            self.fencing = None
+
+    def round(self) -> None:
+        self.fault()
+        self.cluster.propose('{"kind":"noop"}')
+        for _ in range(20):
+            self.cluster.step()
+            self.continue_fencing()
+            node = self.rng.choice(self.nodes)
+            if self.rng.random() < 0.05:
+                node.restart()
+            self.poll(node)
+
+    def fault(self) -> None:
+        cluster = self.cluster
+        name = self.rng.choice(sorted(ZONES))
+        kind = self.rng.randrange(8)
+        if kind == 0 and len(cluster.peers) > 4:
+            cluster.crash(name)
+        elif kind == 1:
+            for lost in set(ZONES) - set(cluster.peers):
+                cluster.start(lost)
+        elif kind == 2:
+            cluster.isolate(name)
+        elif kind == 3:
+            inside = {one for one, zone in ZONES.items() if zone == ZONES[name]}
+            cluster.cut.update(
+                frozenset((one, other))
+                for one in inside
+                for other in set(ZONES) - inside
+            )
+        elif kind in {4, 5}:
+            cluster.heal()
+        elif kind == 6:
+            self.fence(self.rng.choice(LEARNERS))
+        else:
+            self.change('unfence', self.rng.choice(LEARNERS))
+
+
+class TestNeverBackwards:
+    @pytest.mark.parametrize('seed', range(40))
+    def test_no_node_goes_back(self, seed):
+        mesh = Mesh(seed)
+        mesh.cluster.run(1.5)
+        mesh.cluster.loss = 0.05
+        for _ in range(60):
+            mesh.round()
+        assert mesh.offered > 10
+        assert max(node.highest for node in mesh.nodes) > 10
+
+    def test_restarted_node_waits_for_the_release(self):
+        mesh = Mesh(1)
+        mesh.cluster.run(2)
+        replica = mesh.cluster.leader().replica
+        zone = ZONES[replica.cfg.name]
+        request = FreshRequest(zone, replica)
+        replica.durable_commit += 1
+        late = FreshRequest(zone, replica)
+        assert isinstance(request.check(replica, mesh.cluster.now), Offer)
+        assert not isinstance(late.check(replica, mesh.cluster.now), Offer)
+
+    def test_fenced_vm_on_the_far_side_of_a_cut_offers_nothing_old(self):
+        mesh = Mesh(2)
+        cluster = mesh.cluster
+        cluster.run(2)
+        cluster.isolate('b')
+        node = next(one for one in mesh.nodes if one.zone == 'z1')
+        while mesh.fencing is None:
+            mesh.fence('b')
+            cluster.step()
+        for _ in range(300):
+            cluster.step()
+            mesh.continue_fencing()
+        cluster.propose('{"kind":"noop"}')
+        cluster.run(1)
+        ahead = cluster.peers['a'].replica.releases['z1']
+        behind = cluster.peers['b'].replica.releases['z1']
+        assert ahead > behind
+        node.take(ahead)
+        node.restart()
+        mesh._poll_fresh(node, 'b')
+        assert node.running == 0
+
+    def test_without_the_lease_wait_a_node_goes_back(self):
+        """The counter-example of the design: fencing before the lease ran out."""
+        mesh = Mesh(3)
+        cluster = mesh.cluster
+        cluster.run(2)
+        assert cluster.peers['b'].replica.has_lease(cluster.now)
+        cluster.isolate('b')
+        mesh.change('fence', 'b')
+        cluster.run(0.2)
+        cluster.propose('{"kind":"noop"}')
+        cluster.run(0.2)
+        node = next(one for one in mesh.nodes if one.zone == 'z1')
+        node.take(cluster.peers['a'].replica.releases['z1'])
+        node.restart()
+        with pytest.raises(AssertionError, match='went back'):
+            mesh._poll_fresh(node, 'b')
+
+
+class TestLease:
+    def test_a_fenced_leader_has_no_lease(self):
+        mesh = Mesh(4)
+        mesh.cluster.run(2)
+        replica = mesh.cluster.leader().replica
+        assert replica.has_lease(mesh.cluster.now)
+        mesh.change('fence', replica.cfg.name)
+        mesh.cluster.run(0.05)
+        assert replica.is_leader
+        assert not replica.has_lease(mesh.cluster.now)
+
+    def test_a_vm_that_missed_a_member_change_gets_no_lease(self):
+        mesh = Mesh(5)
+        cluster = mesh.cluster
+        cluster.run(2)
+        leader = cluster.leader().replica
+        cluster.isolate('b')
+        mesh.change('fence', 'd')
+        cluster.run(1)
+        progress = leader.peers['b']
+        assert progress.commit < leader.log.members_index
+        granted = progress.granted_at
+        cluster.run(0.5)
+        assert progress.granted_at == granted
+
+    def test_a_new_leader_waits_out_the_leases_of_its_predecessor(self):
+        mesh = Mesh(6)
+        cluster = mesh.cluster
+        cluster.run(2)
+        cluster.isolate(cluster.leader().replica.cfg.name)
+        cluster.run(2)
+        replica = cluster.leader().replica
+        waited = replica.fence_allowed_at('d') - replica.elected_at
+        assert waited > (replica.cfg.election_ms + replica.cfg.lease_ms) / 1000
+
+
+def report(
+    member: str,
+    commit: int,
+    released: int = 0,
+    *,
+    view: int = 0,
+    members: list[Member] | None = None,
+) -> ZoneReport:
+    known = (
+        members
+        if members is not None
+        else [Member(member=name, zone='z1', address=name) for name in 'ab']
+    )
+    return ZoneReport(
+        member=member,
+        durable_commit=commit,
+        released=released,
+        view_index=view,
+        members=known,
+    )
+
+
+class TestOfferWithoutLease:
+    def test_all_answers_give_what_all_hold(self):
+        assert offer_without_lease(
+            'a', 'z1', [report('a', 9), report('b', 7)]
+        ) == Offer(7)
+
+    def test_known_release_is_kept(self):
+        assert offer_without_lease(
+            'a', 'z1', [report('a', 9, 8), report('b', 9, 5)]
+        ) == Offer(9)
+
+    def test_a_missing_answer_refuses(self):
+        assert isinstance(
+            offer_without_lease('a', 'z1', [report('a', 9)]), Refusal
+        )
+
+    def test_a_fenced_vm_redirects(self):
+        fenced = [
+            Member(member='a', zone='z1', address='a', fenced=True),
+            Member(member='b', zone='z1', address='b'),
+        ]
+        answer = offer_without_lease(
+            'a',
+            'z1',
+            [report('a', 4), report('b', 9, 9, view=6, members=fenced)],
+        )
+        assert answer == Redirect('b')
+
+    def test_a_vm_that_missed_the_newest_members_refuses(self):
+        again = [Member(member=name, zone='z1', address=name) for name in 'ab']
+        answer = offer_without_lease(
+            'a',
+            'z1',
+            [report('a', 4), report('b', 9, 9, view=6, members=again)],
+        )
+        assert isinstance(answer, Refusal)
+
+    def test_a_zone_with_one_vm_always_can(self):
+        alone = [Member(member='e', zone='z1', address='e')]
+        assert offer_without_lease(
+            'e', 'z1', [report('e', 5, members=alone)]
+        ) == Offer(5)
+
+    def test_adoption_makes_the_adopter_serve(self):
+        members = [
+            Member(member='a', zone='z1', address='a', fenced=True),
+            Member(member='c', zone='z2', address='c', adopts=['z1']),
+        ]
+        assert offer_without_lease(
+            'c', 'z1', [report('c', 5, members=members)]
+        ) == Offer(5)
