--- a/papayalock/core/attempts.py
+++ b/papayalock/core/attempts.py
@@ -7,6 +7,7 @@
 from papayalock.result import Code
 
 MS = 1000  # milliseconds in a second
+CLOCK_SKEW_MS = 60_000  # bound on the difference of control VMs' clocks
 
 
 @dataclass(slots=True)
@@ -23,7 +24,7 @@
 
     __slots__ = ('_evicted_until', '_keep', '_seen', 'incarnation')
 
-    def __init__(self, incarnation: int, keep: int, now: float) -> None:
+    def __init__(self, incarnation: int, keep: int) -> None:
         """Starts empty.
 
         :param incarnation: start time of this process, ms since the epoch
@@ -32,7 +33,7 @@
         self.incarnation = incarnation
         self._keep = keep
         self._seen: OrderedDict[str, Seen] = OrderedDict()
-        self._evicted_until = now
+        self._evicted_until = float('-inf')
 
     def begin(self, attempt: str, incarnation: int, now: float) -> Code:
         """Returns DONE when the attempt may run now, else why it may not."""
@@ -56,15 +57,17 @@
     ) -> Seen:
         """Returns the fate of an attempt; one never seen is refused from now on.
 
-        :param age_ms: time since the attempt was claimed; an attempt claimed
-            before the last eviction may have run and been forgotten
+        :param age_ms: time since the attempt was claimed, by the clocks of
+            control VMs; an attempt claimed before the last eviction may have
+            run and been forgotten
         """
         if incarnation != self.incarnation:
             return Seen(Code.UNKNOWN_ATTEMPT, now)
         known = self._seen.get(attempt)
         if known is not None:
             return known
-        if now - age_ms / MS <= self._evicted_until:
+        claimed = now - (age_ms + CLOCK_SKEW_MS) / MS
+        if claimed <= self._evicted_until:
             return Seen(Code.UNKNOWN_ATTEMPT, now)
         refused = Seen(Code.STALE_ATTEMPT, now)
         self._add(attempt, refused)
--- a/papayalock/node/main.py
+++ b/papayalock/node/main.py
@@ -40,7 +40,6 @@
         clock = SystemClock()
         rng = random.Random()
         relay = settings.relay
-        now = clock.monotonic()
         self.pool = Pool(relay.connect_ms, relay.idle_ms, POOLED_PER_ADDRESS)
         self.balancer = Balancer(
             settings.zone,
@@ -65,9 +64,7 @@
             announce_lease_ms=ANNOUNCEMENTS_PER_LEASE
             * settings.membership.announce_ms,
         )
-        attempts = AttemptLog(
-            self.agent.incarnation, settings.gate.attempts, now
-        )
+        attempts = AttemptLog(self.agent.incarnation, settings.gate.attempts)
         dispatcher = Dispatcher(
             self.agent,
             self.queue,
--- /dev/null
+++ b/test/wires.py
@@ -0,0 +1,82 @@
+"""Fake transports and clocks for the node's protocols."""
+
+import asyncio
+
+from papayalock.node.http import Server, ServerLimits
+from papayalock.wire import ClientConn
+
+
+class FakeClock:
+    """A clock that tests move."""
+
+    def __init__(self, now: float = 100.0) -> None:
+        self.now = now
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall_ms(self) -> int:
+        return int(self.now * 1000)
+
+
+class FakeTransport(asyncio.Transport):
+    """Collects what is written and notes what the protocol asks for."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b''
+        self.aborted = False
+        self.closed = False
+        self.paused = False
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+
+    def close(self) -> None:
+        self.closed = True
+
+    def abort(self) -> None:
+        self.aborted = True
+        self.closed = True
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def pause_reading(self) -> None:
+        self.paused = True
+
+    def resume_reading(self) -> None:
+        self.paused = False
+
+
+def client() -> tuple[ClientConn, FakeTransport]:
+    conn = ClientConn()
+    transport = FakeTransport()
+    conn.connection_made(transport)
+    return conn, transport
+
+
+def server(handler, **limits: int) -> tuple[Server, 'ServerSide']:
+    bounds = {
+        'header_bytes': 2048,
+        'body_bytes': 4096,
+        'connections': 4,
+        **limits,
+    }
+    listening = Server(handler, ServerLimits(**bounds))
+    return listening, ServerSide(listening)
+
+
+class ServerSide:
+    """One accepted connection of a server under test."""
+
+    def __init__(self, listening: Server) -> None:
+        self.conn = listening.make_conn()
+        self.transport = FakeTransport()
+        self.conn.connection_made(self.transport)
+
+    async def feed(self, data: bytes) -> bytes:
+        self.conn.data_received(data)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        return self.transport.written
