--- /dev/null
+++ b/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments; each module has ``run(seed)`` and returns its figures."""
--- /dev/null
+++ b/bench/experiments/footprint.py
@@ -0,0 +1,84 @@
+"""Resident memory of nodes and control VMs, small and at a slice of the target.
+
+The slice: a node of one service among 3,300, with its share of the 23,000
+servers (its own service and five callees, seven servers each).
+"""
+
+import random
+import tempfile
+import time
+from pathlib import Path
+
+from bench.fleet import Fleets, wait_leader
+from bench.mesh import Mesh, get_json, wait_until
+from bench.registers import changed, register
+
+SERVICES = 3300
+SERVERS_PER_SERVICE = 7
+SLICE = 6  # services in a node's scope
+SETTINGS: dict[str, dict[str, object]] = {'membership': {'announce_ms': 500}}
+
+
+def run(seed: int) -> dict[str, float]:
+    """Measures the small mesh, then the slice."""
+    figures = _small(seed)
+    figures.update(_slice(seed))
+    return figures
+
+
+def _small(seed: int) -> dict[str, float]:
+    with tempfile.TemporaryDirectory() as name:
+        mesh = Mesh(Path(name), ['a'], settings=SETTINGS)
+        try:
+            mesh.start_control()
+            wait_leader(mesh)
+            fleets = Fleets(mesh, 2)
+            fleets.submit(register(2))
+            for number in range(2):
+                mesh.start_node(f'n{number}', 'a')
+                mesh.start_backend(f'b{number}', f'svc-{number}', f'n{number}')
+            wait_until(
+                lambda: all(_current(mesh, node) for node in mesh.nodes),
+                'nodes current',
+            )
+            time.sleep(2)
+            return {
+                'node_rss_mb': mesh.nodes['n0'].rss_mb(),
+                'control_rss_mb': mesh.control['control-a-0'].rss_mb(),
+            }
+        finally:
+            mesh.stop()
+
+
+def _slice(seed: int) -> dict[str, float]:
+    rng = random.Random(seed)
+    with tempfile.TemporaryDirectory() as name:
+        mesh = Mesh(Path(name), ['a'], settings=SETTINGS)
+        fleets = Fleets(mesh, SLICE)
+        try:
+            mesh.start_control()
+            wait_leader(mesh)
+            whole = register(SERVICES)
+            fleets.submit(whole)
+            fleets.start(SLICE * SERVERS_PER_SERVICE)
+            mesh.start_node('n0', 'a')
+            mesh.start_backend('b0', 'svc-0', 'n0')
+            wait_until(lambda: _current(mesh, 'n0'), 'node current')
+            for _ in range(20):
+                whole = changed(whole, rng)
+                fleets.submit(whole)
+            time.sleep(2)
+            return {
+                'node_rss_target_mb': mesh.nodes['n0'].rss_mb(),
+                'control_rss_target_services_mb': mesh.control[
+                    'control-a-0'
+                ].rss_mb(),
+            }
+        finally:
+            fleets.stop()
+            mesh.stop()
+
+
+def _current(mesh: Mesh, node: str) -> bool:
+    found = get_json(mesh.node_address[node], '/papayalock/status')
+    return bool(found['services'])
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -57,16 +57,20 @@
         """Starts the process."""
         self.name = name
         self._command = command
-        self._log = log
+        self.log = log
         self.popen = self._start()
 
     def _start(self) -> 'subprocess.Popen[bytes]':
         env = {**os.environ, 'PYTHONPATH': str(ROOT)}
-        with self._log.open('ab') as opened:
+        with self.log.open('ab') as opened:
             return subprocess.Popen(
                 self._command, stdout=opened, stderr=opened, env=env, cwd=ROOT
             )
 
+    def log_lines(self) -> list[bytes]:
+        """Returns the whole lines that the process has printed."""
+        return self.log.read_bytes().split(b'\n')[:-1]
+
     def kill(self) -> None:
         """Ends the process at once."""
         self.popen.kill()
--- /dev/null
+++ b/bench/registers.py
@@ -0,0 +1,83 @@
+"""Generated registers of any size."""
+
+import random
+
+import msgspec
+
+from papayalock.messages import Operation, Register, Rules, Service
+
+CALLEES = 5  # services that one service calls
+
+
+def service(number: int, total: int, slots: int = 8) -> Service:
+    """Returns one service that a few others call."""
+    callers = [
+        f'svc-{(number + step * 7 + 1) % total}'
+        for step in range(min(CALLEES, total - 1))
+    ]
+    return Service(
+        name=f'svc-{number}',
+        slots=slots,
+        connections=128,
+        callers=callers or ['*'],
+        operations=[
+            Operation(
+                name='read',
+                method='GET',
+                path='/items/{item}',
+                deadline_ms=1000,
+            ),
+            Operation(
+                name='list',
+                method='GET',
+                path='/items',
+                priority='bulk',
+                deadline_ms=30_000,
+            ),
+            Operation(
+                name='write',
+                method='POST',
+                path='/items',
+                repeatable=False,
+                deadline_ms=3000,
+            ),
+            Operation(
+                name='change',
+                method='PUT',
+                path='/items/{item}',
+                deadline_ms=2000,
+            ),
+        ],
+    )
+
+
+def register(total: int) -> Register:
+    """Returns a register of a number of services."""
+    return Register(
+        mesh='generated',
+        services=[service(number, total) for number in range(total)],
+    )
+
+
+def changed(register_now: Register, rng: random.Random) -> Register:
+    """Returns a register in which one service has other slots."""
+    services = list(register_now.services)
+    number = rng.randrange(len(services))
+    old = services[number]
+    services[number] = msgspec.structs.replace(
+        old, slots=1 + (old.slots + rng.randrange(6)) % 16
+    )
+    return Register(mesh=register_now.mesh, services=services)
+
+
+def submit_body(register_now: Register, base: int, request: str) -> bytes:
+    """Returns the body of a submission."""
+    fields = {
+        'kind': 'submit',
+        'request': request,
+        'base': base,
+        'operator': 'bench',
+        'register': register_now,
+        'rules': Rules(),
+    }
+    return msgspec.json.encode(fields)
