Give a joining control VM the first member set; forward no longer than a leader leads

Cause: 'failover' never got past the promotion of a replaced VM. Traces: the first member set is in no log entry, so a VM that joined by replaying the log saw only itself as a member and could have elected itself; 'promote' asked for an exact commit, which running submissions always outpace; a follower kept forwarding to a leader that was cut off, until the operator's time-out. The new check of the joined member set failed before the change.

--- a/bench/agents.py
+++ b/bench/agents.py
@@ -113,9 +113,12 @@
 
     async def _report_bytes(self) -> None:
         while True:
-            sys.stdout.write(
-                f'{json.dumps({"at": time.monotonic(), "sent": self._pool.sent, "received": self._pool.received})}\n'
-            )
+            mark = {
+                'at': time.monotonic(),
+                'sent': self._pool.sent,
+                'received': self._pool.received,
+            }
+            sys.stdout.write(f'{json.dumps(mark)}\n')
             sys.stdout.flush()
             await asyncio.sleep(0.1)
 
--- /dev/null
+++ b/bench/experiments/storm.py
@@ -0,0 +1,95 @@
+"""All nodes killed and back at once while versions are accepted.
+
+Two runs, with storm admission and without it: time until the last node holds
+what was newest when it came back, memory of the control VMs, bytes sent.
+"""
+
+import random
+import tempfile
+import time
+from pathlib import Path
+
+from bench.fleet import Fleets, wait_leader
+from bench.mesh import Mesh, wait_until
+from bench.registers import changed, register
+
+ZONES = ['a', 'b', 'c']
+SERVICES = 300
+PER_ZONE = 80
+VERSIONS = 10
+UNBOUNDED = 100_000
+BOUNDED = 60  # a second and zone, so that the storm exceeds it
+
+
+def run(seed: int) -> dict[str, float]:
+    """Measures both runs."""
+    figures = {
+        f'admitted_{name}': found
+        for name, found in _storm(seed, BOUNDED).items()
+    }
+    figures.update(
+        (f'open_{name}', found)
+        for name, found in _storm(seed, UNBOUNDED).items()
+    )
+    figures['recover_max_s'] = figures['admitted_recover_max_s']
+    return figures
+
+
+def _storm(seed: int, per_second: int) -> dict[str, float]:
+    rng = random.Random(seed)
+    with tempfile.TemporaryDirectory() as name:
+        mesh = Mesh(
+            Path(name),
+            ZONES,
+            settings={'distribution': {'snapshots_per_s': per_second}},
+        )
+        fleets = Fleets(mesh, SERVICES)
+        try:
+            mesh.start_control()
+            wait_leader(mesh)
+            whole = register(SERVICES)
+            fleets.submit(whole)
+            fleets.start(PER_ZONE, seed=seed)
+            fleets.wait_applied(fleets.version)
+            return _kill_and_return(mesh, fleets, rng)
+        finally:
+            fleets.stop()
+            mesh.stop()
+
+
+def _kill_and_return(
+    mesh: Mesh, fleets: Fleets, rng: random.Random
+) -> dict[str, float]:
+    whole = register(SERVICES)
+    for process in fleets.processes:
+        process.kill()
+        process.log.write_bytes(b'')
+    for process in fleets.processes:
+        process.restart()
+    start = time.monotonic()
+    peak = 0.0
+    for _ in range(VERSIONS):
+        whole = changed(whole, rng)
+        fleets.submit(whole)
+        peak = max(peak, *(one.rss_mb() for one in mesh.control.values()))
+    wait_until(
+        lambda: (
+            len({number for number, _, _ in fleets.reports()}) == fleets.count
+        ),
+        'all nodes back',
+    )
+    fleets.wait_applied(fleets.version)
+    first: dict[int, float] = {}
+    for number, _, at in fleets.reports():
+        first.setdefault(number, at)
+    came_up = min(first.values())
+    last = max(fleets.applied_at()[fleets.version].values())
+    peak = max(peak, *(one.rss_mb() for one in mesh.control.values()))
+    time.sleep(0.3)
+    return {
+        'recover_max_s': last - start,
+        'first_node_s': came_up - start,
+        'peak_control_rss_mb': peak,
+        'bytes_total': fleets.bytes_between(0, time.monotonic()).total,
+        'control_cpu_s': sum(one.cpu_s() for one in mesh.control.values()),
+    }
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -103,7 +103,7 @@
         until = time.monotonic() + timeout
         while time.monotonic() < until:
             for address in self.mesh.control_addresses():
-                answer = self._post(address, body)
+                answer = post_submit(address, body)
                 if answer is None:
                     continue
                 if answer['code'] == 300:
@@ -119,19 +119,6 @@
             time.sleep(0.02)
         raise TimeoutError('submission was not accepted')
 
-    def _post(self, address: str, body: bytes) -> dict[str, object] | None:
-        req = Request(
-            f'http://{address}/v1/submit',
-            data=body,
-            headers={'content-type': 'application/json'},
-        )
-        try:
-            with urlopen(req, timeout=5) as answer:
-                found: dict[str, object] = json.loads(answer.read())
-                return found
-        except (HTTPError, OSError):
-            return None
-
     def wait_applied(self, version: int, timeout: float = 30) -> None:
         """Waits until every agent reports a version."""
         wait_until(
@@ -212,6 +199,23 @@
         ]
 
 
+def post_submit(
+    address: str, body: bytes, timeout: float = 5
+) -> dict[str, object] | None:
+    """Returns a control VM's answer to a submission, or None without one."""
+    req = Request(
+        f'http://{address}/v1/submit',
+        data=body,
+        headers={'content-type': 'application/json'},
+    )
+    try:
+        with urlopen(req, timeout=timeout) as answer:
+            found: dict[str, object] = json.loads(answer.read())
+    except (HTTPError, OSError):
+        return None
+    return found
+
+
 def leader_of(mesh: Mesh) -> str:
     """Returns the name of the leader that most control VMs see."""
     seen: dict[str, int] = {}
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -11,6 +11,8 @@
 from pathlib import Path
 from urllib.request import urlopen
 
+from bench.link import Links
+
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20.0
 POLL_S = 0.05
@@ -137,6 +139,7 @@
         self.folder = folder
         self.zones = zones
         self.settings = settings or {}
+        self.links: Links | None = None
         self.control: dict[str, Process] = {}
         self.nodes: dict[str, Process] = {}
         self.backends: dict[str, Process] = {}
@@ -161,6 +164,23 @@
             if zone in {'', one['zone']}
         ]
 
+    def use_links(self) -> 'Links':
+        """Puts a link between every two control VMs."""
+        self.links = Links()
+        return self.links
+
+    def _members_for(self, name: str) -> list[dict[str, object]]:
+        """Returns the members with the addresses that one of them uses."""
+        seen = []
+        for member in self.members:
+            found = dict(member)
+            target = str(member['name'])
+            if self.links is not None and target != name:
+                link = self.links.add(name, target, str(member['address']))
+                found['address'] = link.address
+            seen.append(found)
+        return seen
+
     def start_control(self) -> None:
         """Starts every control VM."""
         for member in self.members:
@@ -171,11 +191,29 @@
                 'zone': member['zone'],
                 'listen': member['address'],
                 'data': str(self.folder / name),
-                'control': {'members': self.members},
+                'control': {'members': self._members_for(name)},
                 **self.settings,
             }
             self.control[name] = self._daemon(name, document)
 
+    def join_control(self, name: str, zone: str) -> str:
+        """Starts a control VM that is not a member yet; returns its address."""
+        address = f'127.0.0.1:{free_port()}'
+        document = {
+            'role': 'control',
+            'name': name,
+            'zone': zone,
+            'listen': address,
+            'data': str(self.folder / name),
+            'control': {'members': self.members, 'join': True},
+            **self.settings,
+        }
+        self.members.append(
+            {'name': name, 'zone': zone, 'address': address, 'voter': False}
+        )
+        self.control[name] = self._daemon(name, document)
+        return address
+
     def start_node(
         self, name: str, zone: str, control: list[str] | None = None
     ) -> str:
@@ -228,6 +266,8 @@
 
     def stop(self) -> None:
         """Ends every process that this mesh started."""
+        if self.links is not None:
+            self.links.close()
         for process in (
             *self.backends.values(),
             *self.nodes.values(),
--- a/papayalock/control/control.py
+++ b/papayalock/control/control.py
@@ -32,12 +32,15 @@
 
 CONFIG_GROUP = 'config'
 OK = 200
+CATCH_UP_ENTRIES = 64  # entries that a promoted VM may still lack
 BEAT_S = 0.1
 ASK_TIMEOUT_MS = 500
 FORWARD_TIMEOUT_MS = 5000
 MAX_ANSWER_BYTES = 1_048_576
 MS = 1000  # milliseconds in a second
 FENCE_POLL_S = 0.05
+LEADER_POLL_S = 0.05
+Exchanged = tuple[int, bytes]
 
 
 def claims_group(shard: int) -> str:
@@ -171,13 +174,14 @@
         address = self._addresses.get(leader)
         if address is None or leader == self.name:
             raise PapayalockError(Code.NO_LEADER, 'no leader is known')
-        req = json_request(
-            b'POST', f'{path}?hop=1', address, msgspec.json.encode(command)
-        )
-        try:
-            status, body = await self._pool.exchange(
+        req = json_request(b'POST', path, address, msgspec.json.encode(command))
+        exchange = asyncio.create_task(
+            self._pool.exchange(
                 address, req, FORWARD_TIMEOUT_MS, MAX_ANSWER_BYTES
             )
+        )
+        try:
+            status, body = await self._while_leading(group, leader, exchange)
         except WireError as exc:
             raise PapayalockError(
                 Code.NO_LEADER, f'leader {leader} does not answer: {exc}'
@@ -187,6 +191,21 @@
             raise PapayalockError(Code(answer['code']), answer['message'])
         return answer
 
+    async def _while_leading(
+        self, group: Group, leader: str, exchange: 'asyncio.Task[Exchanged]'
+    ) -> Exchanged:
+        """Waits for a leader's answer for as long as it leads."""
+        try:
+            while not exchange.done():
+                await asyncio.wait({exchange}, timeout=LEADER_POLL_S)
+                if group.replica.leader != leader and not exchange.done():
+                    raise PapayalockError(
+                        Code.NO_LEADER, f'{leader} stopped leading'
+                    )
+        finally:
+            exchange.cancel()
+        return await exchange
+
     async def _change_member(self, command: SetMember) -> Any:
         """Proposes a change once it is allowed and no lease speaks against it."""
         replica = self.config.replica
@@ -227,7 +246,8 @@
     def _check_caught_up(self, member: str) -> None:
         replica = self.config.replica
         progress = replica.peers.get(member)
-        if progress is None or progress.commit < replica.commit:
+        known = progress.match if progress else 0
+        if replica.log.last_index - known > CATCH_UP_ENTRIES:
             raise PapayalockError(
                 Code.CHANGE_PENDING, f'{member} has not caught up'
             )
--- a/papayalock/core/following.py
+++ b/papayalock/core/following.py
@@ -1,7 +1,7 @@
 """The follower's side: taking in entries, snapshots and leases."""
 
 from papayalock.core.election import Electing
-from papayalock.core.replica import MS
+from papayalock.core.replica import MS, NEEDS_SNAPSHOT
 from papayalock.messages import PeerMessage
 
 
@@ -23,6 +23,8 @@
         self._note_lease(msg, now)
         if msg.kind == 'snapshot':
             self._install(msg)
+        elif not self.log.members:
+            self._ask_snapshot(msg)
         elif self.log.term_at(msg.index) == msg.log_term:
             self._accept(msg)
         elif msg.index < self.log.snapshot.index:
@@ -32,6 +34,12 @@
             self._send(msg.sender, 'append_res', index=hint, round=msg.round)
         self._answered_at[msg.round] = now
 
+    def _ask_snapshot(self, msg: PeerMessage) -> None:
+        """Asks for the first member set, which no log entry holds."""
+        self._send(
+            msg.sender, 'append_res', index=NEEDS_SNAPSHOT, round=msg.round
+        )
+
     def _note_lease(self, msg: PeerMessage, now: float) -> None:
         answered = self._answered_at.get(msg.acked)
         if answered is not None and msg.lease_ms:
@@ -73,7 +81,7 @@
         snapshot = msg.snapshot
         if snapshot is None:
             return
-        if snapshot.index > self.commit:
+        if snapshot.index > self.commit or not self.log.members:
             self.log.compact(snapshot)
             self.commit = snapshot.index
             self.applied = snapshot.index
--- a/papayalock/core/leading.py
+++ b/papayalock/core/leading.py
@@ -1,6 +1,11 @@
 """The leader's side: replication, commit, serving leases and releases."""
 
-from papayalock.core.replica import MS, Progress, ReplicaState
+from papayalock.core.replica import (
+    MS,
+    NEEDS_SNAPSHOT,
+    Progress,
+    ReplicaState,
+)
 from papayalock.core.zones import release_points
 from papayalock.messages import PeerMessage
 
@@ -89,7 +94,9 @@
             return
         self._note_round(progress, msg, now)
         if not msg.granted:
-            progress.next = max(1, min(msg.index + 1, progress.next - 1))
+            lowest = 0 if msg.index == NEEDS_SNAPSHOT else 1
+            hint = min(msg.index + 1, progress.next - 1)
+            progress.next = max(lowest, hint)
             self._replicate(msg.sender, now)
             return
         progress.match = max(progress.match, msg.index)
--- a/papayalock/core/replica.py
+++ b/papayalock/core/replica.py
@@ -8,6 +8,7 @@
 
 MS = 1000  # milliseconds in a second
 PERCENT = 100
+NEEDS_SNAPSHOT = -1  # index by which a replica asks for a snapshot
 PeerKind = Literal[
     'pre_vote',
     'pre_vote_res',
--- a/test/test_replog.py
+++ b/test/test_replog.py
@@ -144,7 +144,9 @@
         cluster.start('d')
         cluster.propose(change('add', 'd', ZONES[lost]))
         cluster.run(1)
-        assert not cluster.peers['d'].replica.me.voter
+        joined = cluster.peers['d'].replica
+        assert not joined.me.voter
+        assert joined.log.members == cluster.leader().replica.log.members
         assert cluster.peers['d'].replica.commit >= index
         cluster.propose(change('promote', 'd'))
         cluster.run(1)
