--- a/papayalock/control/group.py
+++ b/papayalock/control/group.py
@@ -145,14 +145,18 @@
                 )
 
     async def _settle(self) -> None:
-        """Persists, sends and applies until nothing is left to do."""
+        """Sends, applies and persists until nothing is left to do.
+
+        Committed entries are durable on a quorum, so they are applied, and
+        their proposers answered, before this VM's own disk has them.
+        """
         while True:
             effects = self.replica.take()
+            self._send(effects.early)
+            self._apply(effects)
             if effects.durable:
                 await self._persist(effects)
-            for message in effects.messages:
-                self._network.send(message)
-            self._apply(effects)
+            self._send(effects.late)
             if (
                 not effects.durable
                 and not effects.messages
@@ -161,6 +165,10 @@
                 return
             self.replica.persisted(self._clock.monotonic())
 
+    def _send(self, messages: list[PeerMessage]) -> None:
+        for message in messages:
+            self._network.send(message)
+
     async def _persist(self, effects: Effects) -> None:
         while True:
             try:
--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -158,6 +158,7 @@
             lease_ms=cfg.lease_ms,
             drift_percent=cfg.drift_percent,
             append_entries=cfg.append_entries,
+            eager_commit=name == CONFIG_GROUP,
         )
         replica = Replica(
             replica_cfg, restored, self._rng, self._clock.monotonic()
--- a/papayalock/core/election.py
+++ b/papayalock/core/election.py
@@ -97,6 +97,7 @@
     def _become_leader(self, now: float) -> None:
         self.role = 'leader'
         self.leader = self.cfg.name
+        self._effects.elected = True
         self.elected_at = now
         self._own_match = 0
         self._term_start = self.log.last_index + 1
--- a/papayalock/core/leading.py
+++ b/papayalock/core/leading.py
@@ -127,8 +127,10 @@
         quorum = matches[-self._majority()]
         if quorum > self.commit and self.log.term_at(quorum) == self.term:
             self._commit_to(quorum)
-            self._broadcast(now)
-        self._update_releases(now)
+            if self.cfg.eager_commit:
+                self._broadcast(now)
+        if self.cfg.eager_commit:
+            self._update_releases(now)
 
     def _match_of(self, name: str) -> int:
         if name == self.cfg.name:
--- a/papayalock/core/replica.py
+++ b/papayalock/core/replica.py
@@ -20,6 +20,9 @@
 ]
 
 
+LEADER_KINDS = frozenset(('append', 'snapshot'))
+
+
 class HardState:
     """What a replica must remember across restarts beside its log."""
 
@@ -52,6 +55,7 @@
     __slots__ = (
         'append_entries',
         'drift_percent',
+        'eager_commit',
         'election_ms',
         'group',
         'lease_ms',
@@ -69,8 +73,13 @@
         lease_ms: int = 1000,
         drift_percent: int = 5,
         append_entries: int = 256,
+        eager_commit: bool = True,
     ) -> None:
-        """Keeps the values as given."""
+        """Keeps the values as given.
+
+        :param eager_commit: whether followers learn of a commit at once,
+            as a release needs, or with the next append or heartbeat
+        """
         self.group = group
         self.name = name
         self.tick_ms = tick_ms
@@ -78,6 +87,7 @@
         self.lease_ms = lease_ms
         self.drift_percent = drift_percent
         self.append_entries = append_entries
+        self.eager_commit = eager_commit
 
 
 class Effects:
@@ -85,6 +95,7 @@
 
     __slots__ = (
         'applied',
+        'elected',
         'entries',
         'hard',
         'installed',
@@ -95,12 +106,32 @@
     def __init__(self) -> None:
         """Starts with nothing to do."""
         self.hard: HardState | None = None
+        self.elected = False
         self.truncate_from = 0
         self.entries: list[Entry] = []
         self.messages: list[PeerMessage] = []
         self.applied: list[Entry] = []
         self.installed: Snapshot | None = None
 
+    @property
+    def early(self) -> list[PeerMessage]:
+        """Messages that may leave before the rest is durable.
+
+        A leader's own disk is one vote among others, so its entries may go
+        out meanwhile; but not before the term that it was elected in is
+        durable.
+        """
+        if self.elected:
+            return []
+        return [one for one in self.messages if one.kind in LEADER_KINDS]
+
+    @property
+    def late(self) -> list[PeerMessage]:
+        """Messages that must wait until the rest is durable."""
+        if self.elected:
+            return self.messages
+        return [one for one in self.messages if one.kind not in LEADER_KINDS]
+
     @property
     def durable(self) -> bool:
         """Whether something must reach the disk before messages are sent."""
--- a/test/cluster.py
+++ b/test/cluster.py
@@ -85,6 +85,7 @@
         self.one_way: set[tuple[str, str]] = set()
         self.loss = 0.0
         self.repeat = 0.0
+        self.crash_before_save = 0.0
         self.delay = 0.02
         self.leaders: dict[int, str] = {}
         for name in zones:
@@ -141,9 +142,14 @@
     def settle(self, peer: Peer) -> None:
         while True:
             effects = peer.replica.take()
+            for message in effects.early:
+                self._send(message)
+            if effects.durable and self.rng.random() < self.crash_before_save:
+                self.crash(peer.replica.cfg.name)
+                return
             if effects.durable:
                 peer.storage.save(effects)
-            for message in effects.messages:
+            for message in effects.late:
                 self._send(message)
             if effects.installed is not None:
                 peer.applied = [
--- a/test/test_replog.py
+++ b/test/test_replog.py
@@ -96,15 +96,14 @@
         cluster.loss = 0.1
         cluster.repeat = 0.1
         cluster.delay = 0.1
-        down: set[str] = set()
+        cluster.crash_before_save = 0.01
         for round_number in range(40):
             fault = cluster.rng.randrange(5)
             name = cluster.rng.choice(sorted(ZONES))
-            if fault == 0 and not down:
+            if fault == 0 and len(cluster.peers) == 3:
                 cluster.crash(name)
-                down.add(name)
-            elif fault == 1 and down:
-                cluster.start(down.pop())
+            elif fault == 1:
+                restart_all(cluster)
             elif fault == 2:
                 cluster.isolate(name)
             elif fault == 3:
@@ -113,12 +112,17 @@
             cluster.run(0.3)
             cluster.check_logs()
         cluster.heal()
-        for name in down:
-            cluster.start(name)
+        cluster.crash_before_save = 0.0
+        restart_all(cluster)
         cluster.run(5)
         assert len({one.replica.commit for one in cluster.peers.values()}) == 1
 
 
+def restart_all(cluster: Cluster) -> None:
+    for name in set(ZONES) - set(cluster.peers):
+        cluster.start(name)
+
+
 def change(action: str, member: str, zone: str = 'z1') -> str:
     command = SetMember(
         kind='member',
