Tell a slow answer from a silent connection by signs of life

Ruled out: a shorter limit alone, which would give up slow answers; half of the remaining time, for the same reason. Change: a gate sends '102 Processing' to the calling node every 100 ms while a call runs; 300 ms without a byte mean a dead connection, whose address's idle connections are dropped too. The gate itself bounds the backend server. A request that may not be repeated still waits until its deadline, since another try is no option for it.

--- a/bench/experiments/atmostonce.py
+++ b/bench/experiments/atmostonce.py
@@ -99,7 +99,7 @@
     loop = asyncio.get_running_loop()
     begun = loop.time()
     deposits = []
-    tasks = []
+    tasks: list[asyncio.Task[None]] = []
     for number, at in enumerate(arrivals(RATE, seconds, rng)):
         delay = begun + at - loop.time()
         if delay > 0:
@@ -118,7 +118,7 @@
 async def _tap(
     caller: Caller, rng: random.Random, entries: list[str], deposit: Deposit
 ) -> None:
-    if deposit.results or rng.random() < 0.5:
+    if deposit.results or rng.randrange(2):
         await asyncio.sleep(rng.random() * 0.8)
     headers = [
         (b'idempotency-key', deposit.key.encode()),
--- a/papayalock/config.py
+++ b/papayalock/config.py
@@ -62,6 +62,10 @@
         problems.add(
             Code.SETTINGS, 'membership.lease_ms', 'must exceed two polls'
         )
+    if settings.relay.silence_ms < 2 * settings.relay.alive_ms:
+        problems.add(
+            Code.SETTINGS, 'relay.silence_ms', 'must be two alive_ms or more'
+        )
     if settings.group.election_ms < 4 * settings.group.tick_ms:
         problems.add(
             Code.SETTINGS, 'group.election_ms', 'must be four ticks or more'
--- a/papayalock/node/dispatch.py
+++ b/papayalock/node/dispatch.py
@@ -54,11 +54,14 @@
         clock: Clock,
         *,
         progress_ms: int,
+        silence_ms: int,
         answer_bytes: int,
     ) -> None:
         """Binds the parts.
 
-        :param progress_ms: longest silence of a try that may be repeated
+        :param progress_ms: longest silence of a backend server in a try that
+            may be repeated
+        :param silence_ms: silence after which a connection to a node is dead
         :param answer_bytes: largest answer recorded
         """
         self._agent = agent
@@ -68,6 +71,7 @@
         self._pool = pool
         self._clock = clock
         self._progress_ms = progress_ms
+        self._silence_ms = silence_ms
         self._answer_bytes = answer_bytes
 
     # The gate: to the backend server beside this node.
@@ -167,11 +171,17 @@
     def _remaining(self, trip: Trip) -> bytes:
         return b'%d' % forwarded_ms(trip.deadline, self._clock.monotonic())
 
-    def _timeout_ms(self, trip: Trip) -> int:
+    def _timeout_ms(self, trip: Trip, *, to_node: bool) -> int:
+        """Returns the longest silence to bear, in ms.
+
+        A node gives signs of life, so its silence is told from a slow answer.
+        An attempt is not repeated, so it waits for as long as there is time.
+        """
         remaining = max(1, trip.deadline.remaining_ms(self._clock.monotonic()))
         if trip.attempt is not None:
             return remaining
-        return min(self._progress_ms, remaining)
+        limit = self._silence_ms if to_node else self._progress_ms
+        return min(limit, remaining)
 
     async def _exchange(
         self,
@@ -188,6 +198,8 @@
         try:
             return await self._call(trip, req, conn, verdict, server)
         except WireError as exc:
+            if exc.code == Code.UNKNOWN_TIMEOUT:
+                self._pool.drop(address)
             return Failed(exc.code, str(exc))
         finally:
             self._pool.give(address, conn)
@@ -201,7 +213,8 @@
         server: Server | None,
     ) -> TryOutcome:
         expect = trip.attempt is not None and conn.used
-        response = await conn.call(req, self._timeout_ms(trip), expect=expect)
+        timeout_ms = self._timeout_ms(trip, to_node=server is not None)
+        response = await conn.call(req, timeout_ms, expect=expect)
         failed = verdict(response, trip)
         if server is not None:
             self._note_load(server, response)
--- a/papayalock/node/http.py
+++ b/papayalock/node/http.py
@@ -106,9 +106,10 @@
         if self._chunked:
             self._conn.write(b'0\r\n\r\n')
 
-    def go_on(self) -> None:
-        """Asks the caller for the body that it held back."""
-        self._conn.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+    def sign_of_life(self) -> None:
+        """Tells the caller that the call is still under way."""
+        if not self.started:
+            self._conn.write(b'HTTP/1.1 102 Processing\r\n\r\n')
 
     def refuse(self, code: Code, message: str, retry_after_ms: int = 0) -> None:
         """Writes a numbered error as the answer."""
--- a/papayalock/node/main.py
+++ b/papayalock/node/main.py
@@ -73,6 +73,7 @@
             self.pool,
             clock,
             progress_ms=relay.progress_ms,
+            silence_ms=relay.silence_ms,
             answer_bytes=settings.claims.answer_bytes,
         )
         claims = ClaimClient(
@@ -105,6 +106,7 @@
             admin,
             counters,
             clock,
+            alive_ms=relay.alive_ms,
             budget_percent=settings.retry.budget_percent,
             budget_floor=settings.retry.budget_floor,
         )
--- a/papayalock/node/relay.py
+++ b/papayalock/node/relay.py
@@ -10,6 +10,7 @@
 from papayalock.core.routing import Balancer, Server
 from papayalock.node.admin import ADMIN_PREFIX, Admin
 from papayalock.node.agent import Agent
+from papayalock.node.alive import SignsOfLife
 from papayalock.node.counters import Counters
 from papayalock.node.dispatch import Dispatcher
 from papayalock.node.http import Call, Reply
@@ -48,6 +49,7 @@
         counters: Counters,
         clock: Clock,
         *,
+        alive_ms: int,
         budget_percent: int,
         budget_floor: int,
     ) -> None:
@@ -61,6 +63,7 @@
         self._admin = admin
         self._counters = counters
         self._clock = clock
+        self._alive_ms = alive_ms
         self._budget_percent = budget_percent
         self._budget_floor = budget_floor
         self._budgets: dict[str, RetryBudget] = {}
@@ -91,7 +94,8 @@
         if failed is not None:
             return failed
         if trip.call.header(HOP_HEADER):
-            return await self._receive(trip)
+            with SignsOfLife(trip.reply, self._alive_ms):
+                return await self._receive(trip)
         if trip.route.repeatable:
             return await self._run_repeatable(trip)
         own = self._own_serves(trip) and self._gate.has_room
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -83,6 +83,8 @@
     body_bytes: Annotated[int, Meta(ge=0, le=67108864)]
     connections: Annotated[int, Meta(ge=1, le=100000)]
     progress_ms: Annotated[int, Meta(ge=10, le=600000)]
+    alive_ms: Annotated[int, Meta(ge=10, le=60000)]
+    silence_ms: Annotated[int, Meta(ge=20, le=600000)]
     connect_ms: Annotated[int, Meta(ge=10, le=60000)]
     idle_ms: Annotated[int, Meta(ge=10, le=600000)]
     stop_ms: Annotated[int, Meta(ge=0, le=3600000)]
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from test.wires import ServerSide, server
+from papayalock.node.alive import SignsOfLife
+from test.wires import FastLoop, ServerSide, server
 
 HEAD = b'GET / HTTP/1.1\r\nhost: x\r\n'
 
@@ -152,3 +153,22 @@
             return cancelled.is_set()
 
         assert asyncio.run(run())
+
+
+class TestSignsOfLife:
+    def test_a_long_call_gives_signs_until_it_answers(self):
+        async def slow(call, reply) -> None:
+            with SignsOfLife(reply, 100) as _:
+                await asyncio.sleep(0.35)
+            reply.whole(200, [], b'done')
+
+        async def work() -> bytes:
+            _, side = server(slow)
+            await side.feed(HEAD + b'\r\n')
+            await asyncio.sleep(1)
+            return side.transport.written
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            written = runner.run(work())
+        assert written.count(b'102 Processing') == 3
+        assert written.endswith(b'done')
--- a/test/test_once.py
+++ b/test/test_once.py
@@ -16,6 +16,7 @@
 from papayalock.node.trip import Delivered, Failed, Trip
 from papayalock.result import Code
 from test.inventories import example
+from test.wires import FastLoop
 
 PART = derive_parts(example('qureshi'), ['enrol-desk'])['enrol-desk']
 ROUTE = RouteTable([PART]).match('enrol-desk', 'POST', '/riders/1/deposit')
@@ -169,25 +170,6 @@
         return outcome, reply
 
 
-class FastLoop(asyncio.SelectorEventLoop):
-    """A loop whose time jumps over every wait."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._skipped = 0.0
-        real_select = self._selector.select
-
-        def select(timeout=None):
-            if timeout:
-                self._skipped += timeout
-            return real_select(0)
-
-        self._selector.select = select
-
-    def time(self) -> float:
-        return 1000.0 + self._skipped
-
-
 def run(work):
     with asyncio.Runner(loop_factory=FastLoop) as runner:
         return runner.run(work)
--- a/test/wires.py
+++ b/test/wires.py
@@ -19,6 +19,25 @@
         return int(self.now * 1000)
 
 
+class FastLoop(asyncio.SelectorEventLoop):
+    """A loop whose time jumps over every wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._skipped = 0.0
+        real_select = self._selector.select
+
+        def select(timeout=None):
+            if timeout:
+                self._skipped += timeout
+            return real_select(0)
+
+        self._selector.select = select
+
+    def time(self) -> float:
+        return 1000.0 + self._skipped
+
+
 class FakeTransport(asyncio.Transport):
     """Collects what is written and notes what the protocol asks for."""
 
