--- a/bench/experiments/convergence.py
+++ b/bench/experiments/convergence.py
@@ -71,12 +71,16 @@
             mesh.stop()
 
 
-def _submit(
-    fleets: Fleets, rng: random.Random, versions: int, pace_s: float
+def submit_paced(
+    fleets: Fleets,
+    rng: random.Random,
+    services: int,
+    versions: int,
+    pace_s: float,
 ) -> dict[int, float]:
     """Submits versions at a pace and returns when each was accepted."""
     accepted: dict[int, float] = {}
-    whole = register(SERVICES)
+    whole = register(services)
     due = time.monotonic()
     for _ in range(versions):
         time.sleep(max(0.0, due - time.monotonic()))
@@ -87,6 +91,12 @@
     return accepted
 
 
+def _submit(
+    fleets: Fleets, rng: random.Random, versions: int, pace_s: float
+) -> dict[int, float]:
+    return submit_paced(fleets, rng, SERVICES, versions, pace_s)
+
+
 def _baseline(fleets: Fleets, rng: random.Random) -> dict[str, float]:
     start = time.monotonic()
     idle = _idle_rate(fleets)
@@ -132,11 +142,11 @@
         time.sleep(0.5)
     fleets.wait_applied(fleets.version)
     time.sleep(0.5)
-    delays = _delays(fleets, accepted)
+    found = delays(fleets, accepted)
     return {
-        'p50_s': percentile(delays, 0.5),
-        'p99_s': percentile(delays, 0.99),
-        'max_s': max(delays),
+        'p50_s': percentile(found, 0.5),
+        'p99_s': percentile(found, 0.99),
+        'max_s': max(found),
         'versions': len(accepted),
         'control_bytes_per_node_s': pace_bytes
         / fleets.count
@@ -145,14 +155,14 @@
     }
 
 
-def _delays(fleets: Fleets, accepted: dict[int, float]) -> list[float]:
+def delays(fleets: Fleets, accepted: dict[int, float]) -> list[float]:
     """Returns for each version the time until the last agent held it."""
     applied = fleets.applied_at()
-    delays = []
+    found = []
     for version, at in accepted.items():
         held = applied.get(version, {})
         assert len(held) == fleets.count, (
             f'version {version} held by {len(held)}'
         )
-        delays.append(max(held.values()) - at)
-    return delays
+        found.append(max(held.values()) - at)
+    return found
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -41,6 +41,7 @@
         self.count = 0
         self.version = 0
         self._requests = 0
+        self._known: Register | None = None
 
     def start(
         self,
@@ -99,7 +100,8 @@
         :raises TimeoutError: when no control VM accepted it in time
         """
         self._requests += 1
-        body = submit_body(register, self.version, f'bench-{self._requests}')
+        request = f'bench-{self._requests}'
+        body = submit_body(register, self.version, request, self._known)
         until = time.monotonic() + timeout
         while time.monotonic() < until:
             for address in self.mesh.control_addresses():
@@ -109,12 +111,14 @@
                 if answer['code'] == 300:
                     self._requests += 1
                     self.version = int(str(answer['version']))
+                    request = f'bench-{self._requests}'
                     body = submit_body(
-                        register, self.version, f'bench-{self._requests}'
+                        register, self.version, request, self._known
                     )
                     continue
                 assert answer['code'] == 0, answer
                 self.version = int(str(answer['version']))
+                self._known = register
                 return time.monotonic()
             time.sleep(0.02)
         raise TimeoutError('submission was not accepted')
--- a/bench/registers.py
+++ b/bench/registers.py
@@ -72,14 +72,27 @@
     return Register(mesh=register_now.mesh, services=services)
 
 
-def submit_body(register_now: Register, base: int, request: str) -> bytes:
-    """Returns the body of a submission."""
+def submit_body(
+    register_now: Register,
+    base: int,
+    request: str,
+    known: Register | None = None,
+) -> bytes:
+    """Returns the body of a submission.
+
+    :param known: register of the base; only what differs from it is sent
+    """
+    services = register_now.services
+    if known is not None:
+        pairs = zip(services, known.services, strict=True)
+        services = [one for one, old in pairs if one != old]
     fields = {
+        'partial': known is not None,
         'kind': 'submit',
         'request': request,
         'base': base,
         'operator': 'bench',
-        'register': register_now,
+        'register': Register(mesh=register_now.mesh, services=services),
         'rules': Rules(),
     }
     return msgspec.json.encode(fields)
--- a/models/check.py
+++ b/models/check.py
@@ -6,36 +6,59 @@
 import subprocess
 import sys
 import tempfile
+from dataclasses import dataclass
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 DEPTH = 2_000_000
-MODELS = {
-    'log': ('NO_UP_TO_DATE', 'NO_SYNCED_VOTE', 'COMMIT_OLD_TERM'),
-    'release': (
-        'ACK_BEFORE_SYNC',
-        'LEASE_WITHOUT_CATCH_UP',
-        'FENCE_WITHOUT_WAIT',
-        'NO_FLOOR',
-        'ASK_WITHOUT_LEASE',
-        'NO_PEER_NEEDED',
+
+
+@dataclass(slots=True, frozen=True)
+class Case:
+    """A model within bounds, and the mutants that must fail there."""
+
+    model: str
+    bounds: tuple[str, ...]
+    mutants: tuple[str, ...]
+
+
+CASES = (
+    Case('log', ('MAXTERM=3',), ('NO_UP_TO_DATE', 'NO_SYNCED_VOTE')),
+    Case('log', ('MAXTERM=4', 'NO_CRASH'), ('COMMIT_OLD_TERM',)),
+    Case(
+        'release',
+        (),
+        (
+            'ACK_BEFORE_SYNC',
+            'LEASE_WITHOUT_CATCH_UP',
+            'FENCE_WITHOUT_WAIT',
+            'NO_FLOOR',
+            'ASK_WITHOUT_LEASE',
+            'NO_PEER_NEEDED',
+        ),
     ),
-    'accept': (
-        'NO_REQUEST_TABLE',
-        'NO_COMPARE',
-        'NO_VERSION_CHECK',
-        'APPLY_IN_PLACE',
+    Case(
+        'accept',
+        (),
+        (
+            'NO_REQUEST_TABLE',
+            'NO_COMPARE',
+            'NO_VERSION_CHECK',
+            'APPLY_IN_PLACE',
+        ),
     ),
-}
+)
 
 
-def search(model: str, mutant: str) -> tuple[int, str]:
+def search(case: Case, mutant: str) -> tuple[int, str]:
     """Returns the number of errors and the number of states.
 
     :param mutant: macro that breaks one rule; '' for the model itself
     :raises subprocess.CalledProcessError: when a tool fails
     """
-    defines = [f'-D{mutant}'] if mutant else []
+    macros = (*case.bounds, mutant) if mutant else case.bounds
+    defines = [f'-D{macro}' for macro in macros]
+    model = case.model
     with tempfile.TemporaryDirectory() as folder:
         source = FOLDER / f'{model}.pml'
         _run(['spin', '-a', *defines, str(source)], folder)
@@ -43,7 +66,7 @@
         _run(['gcc', *options, '-o', 'pan', 'pan.c'], folder)
         output = _run(['./pan', f'-m{DEPTH}', '-n', '-E'], folder)
     if 'max search depth too small' in output or 'out of memory' in output:
-        raise SystemExit(f'{model} {mutant}: search was cut short')
+        sys.exit(f'{model} {mutant}: search was cut short')
     errors = int(output.split('errors: ')[1].split()[0])
     states = output.split(' states, stored')[0].split()[-1]
     return errors, states
@@ -59,13 +82,15 @@
 def main() -> int:
     """Checks every model and mutant."""
     failed = 0
-    for model, mutants in MODELS.items():
-        for mutant in ('', *mutants):
-            errors, states = search(model, mutant)
+    for case in CASES:
+        for mutant in ('', *case.mutants):
+            errors, states = search(case, mutant)
             good = errors > 0 if mutant else errors == 0
             failed += not good
-            label = f'{model} {mutant or "as specified"}'
             verdict = 'ok' if good else 'WRONG'
+            label = ' '.join(
+                (case.model, *case.bounds, mutant or 'as specified')
+            )
             sys.stdout.write(
                 f'{verdict}: {label}: {errors} errors, {states} states\n'
             )
--- a/models/log.pml
+++ b/models/log.pml
@@ -6,7 +6,9 @@
  */
 #define N 3
 #define MAXLOG 2
+#ifndef MAXTERM
 #define MAXTERM 3
+#endif
 
 typedef Replica {
     byte term;
@@ -23,6 +25,7 @@
 
 Replica r[N];
 byte committed[MAXLOG];  /* 0 is not yet */
+byte leaderOf[MAXTERM + 1];  /* 0 is none yet */
 
 inline upToDate(one, other, ok) {
     lastOne = 0;
@@ -84,6 +87,8 @@
         fi;
         if
         :: r[i].votes[0] + r[i].votes[1] + r[i].votes[2] > N / 2 ->
+            assert(leaderOf[r[i].term] == 0 || leaderOf[r[i].term] == i + 1);
+            leaderOf[r[i].term] = i + 1;
             r[i].leads = true;
             r[i].match[0] = 0; r[i].match[1] = 0; r[i].match[2] = 0;
             r[i].match[i] = r[i].size
@@ -148,6 +153,7 @@
         fi;
         reset()
       }
+#ifndef NO_CRASH
     :: atomic { /* a crash */
         true ->
         r[i].leads = false;
@@ -157,6 +163,7 @@
         r[i].commit = 0;
         reset()
       }
+#endif
     od
 }
 
--- a/papayalock/control/group.py
+++ b/papayalock/control/group.py
@@ -17,6 +17,7 @@
 MS = 1000  # milliseconds in a second
 DISK_RETRY_S = 0.5
 MAX_BATCH = 1024
+SNAPSHOT_BYTES = 67_108_864  # applied commands after which the log is compacted
 
 
 class Machine(Protocol):
@@ -71,6 +72,7 @@
         self._inbox: asyncio.Queue[PeerMessage | Proposal] = asyncio.Queue()
         self._waiting: dict[int, Proposal] = {}
         self._was_leader = False
+        self._applied_bytes = 0
         machine.load(replica.log.snapshot.state)
 
     # Called by other tasks.
@@ -189,6 +191,7 @@
         if effects.installed is not None:
             self.machine.load(effects.installed.state)
         for entry in effects.applied:
+            self._applied_bytes += len(entry.payload)
             answer = self.machine.apply(
                 entry.index, decode_command(entry.payload)
             )
@@ -223,11 +226,11 @@
 
     def _compact(self) -> None:
         replica = self.replica
-        if (
-            replica.applied - replica.log.snapshot.index
-            < self._snapshot_entries
-        ):
+        entries = replica.applied - replica.log.snapshot.index
+        large = self._applied_bytes >= SNAPSHOT_BYTES
+        if entries < self._snapshot_entries and not (large and entries):
             return
+        self._applied_bytes = 0
         snapshot = replica.compact(self.machine.dump(), replica.applied)
         rest = replica.log.between(
             snapshot.index + 1, replica.log.last_index, replica.log.last_index
--- a/papayalock/control/status.py
+++ b/papayalock/control/status.py
@@ -9,9 +9,7 @@
     AuditRecord,
     HeldAnswer,
     Member,
-    Part,
-    Register,
-    Rules,
+    VersionDetail,
     VersionInfo,
 )
 from papayalock.result import Code, PapayalockError
@@ -47,15 +45,6 @@
     services: dict[str, int]
 
 
-class VersionDetail(msgspec.Struct):
-    """One accepted version with its parts; the newest with its sources."""
-
-    info: VersionInfo
-    parts: list[Part]
-    register: Register | None
-    rules: Rules | None
-
-
 class VersionList(msgspec.Struct):
     """The kept versions, without their parts."""
 
--- a/papayalock/core/derive.py
+++ b/papayalock/core/derive.py
@@ -1,7 +1,7 @@
 """Derives what each node does from the inventory and the existing services."""
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import msgspec
 
@@ -25,24 +25,30 @@
 
 
 def derive_parts(
-    inventory: Inventory, existing: Iterable[str]
+    inventory: Inventory,
+    existing: Iterable[str],
+    names: Container[str] | None = None,
 ) -> dict[str, Part]:
-    """Returns the part of every service of the inventory.
+    """Returns the parts of the services of the inventory.
 
     A service without backend servers keeps its part but has no routes, so
     that no route points at a missing resource.
+
+    :param names: services to derive; None for all of them
     """
     present = set(existing)
-    rules = _rules_by_service(inventory.rules.rules)
+    rules = rules_by_service(inventory.rules.rules)
     return {
         service.name: _derive_part(
             service, rules.get(service.name, []), exists=service.name in present
         )
         for service in inventory.register.services
+        if names is None or service.name in names
     }
 
 
-def _rules_by_service(rules: list[Rule]) -> dict[str, list[Rule]]:
+def rules_by_service(rules: list[Rule]) -> dict[str, list[Rule]]:
+    """Returns the rules of each service, in their order."""
     grouped: dict[str, list[Rule]] = {}
     for rule in rules:
         grouped.setdefault(rule.service, []).append(rule)
--- a/papayalock/core/inventory.py
+++ b/papayalock/core/inventory.py
@@ -33,6 +33,17 @@
         self.rules = rules
 
 
+def merged_register(
+    base: Register, change: Register, removed: Iterable[str]
+) -> Register:
+    """Returns a register with some services replaced, added or taken out."""
+    services = {one.name: one for one in base.services}
+    for name in removed:
+        services.pop(name, None)
+    services.update((one.name, one) for one in change.services)
+    return Register(mesh=change.mesh, services=list(services.values()))
+
+
 def parse_inventory(
     register_text: str, rules_text: str
 ) -> tuple[Inventory | None, list[Problem]]:
@@ -68,6 +79,8 @@
     """Returns every error in the meaning of an inventory; empty when sound."""
     problems = Problems()
     services = {one.name: one for one in inventory.register.services}
+    if not services:
+        problems.add(Code.BAD_VALUE, 'service', 'no service is listed')
     _check_unique(
         (one.name for one in inventory.register.services), 'service', problems
     )
--- a/papayalock/core/ledger.py
+++ b/papayalock/core/ledger.py
@@ -9,8 +9,13 @@
     derive_parts,
     manifest_digest,
     part_digest,
+    rules_by_service,
+)
+from papayalock.core.inventory import (
+    Inventory,
+    check_inventory,
+    merged_register,
 )
-from papayalock.core.inventory import Inventory, check_inventory
 from papayalock.messages import (
     AuditRecord,
     Part,
@@ -155,22 +160,47 @@
                 version=self.version,
                 message=f'made from {command.base}, current is {self.version}',
             )
-        inventory = Inventory(command.register, command.rules)
+        inventory = self._proposed(command)
         problems = check_inventory(inventory)
         if problems:
             return SubmitRes(
                 code=Code.INVALID, version=self.version, problems=problems
             )
+        touched = self._touched(command, inventory)
         self.inventory = inventory
-        self._add_version(index, command.at_ms, command.operator, 'submit')
+        self._add_version(
+            index, command.at_ms, command.operator, 'submit', touched
+        )
         return SubmitRes(code=Code.DONE, version=self.version)
 
+    def _proposed(self, command: Submit) -> Inventory:
+        if not command.partial or self.inventory is None:
+            return Inventory(command.register, command.rules)
+        base = self.inventory.register
+        register = merged_register(base, command.register, command.removed)
+        return Inventory(register, command.rules)
+
+    def _touched(self, command: Submit, new: Inventory) -> set[str] | None:
+        """Returns the services to derive again; None for all of them."""
+        if not command.partial or self.inventory is None:
+            return None
+        named = {one.name for one in command.register.services}
+        old_rules = rules_by_service(self.inventory.rules.rules)
+        new_rules = rules_by_service(new.rules.rules)
+        ruled = {
+            name
+            for name in old_rules.keys() | new_rules.keys()
+            if old_rules.get(name) != new_rules.get(name)
+        }
+        return named | ruled
+
     def _set_existence(self, index: int, command: SetExistence) -> None:
         if command.services == self.existing:
             return
+        touched = set(command.services) ^ set(self.existing)
         self.existing = list(command.services)
         if self.inventory is not None:
-            self._add_version(index, command.at_ms, '', 'existence')
+            self._add_version(index, command.at_ms, '', 'existence', touched)
 
     def _note_member(self, index: int, command: SetMember) -> SubmitRes:
         detail = f'{command.action} {command.member.member}'
@@ -185,16 +215,18 @@
         return SubmitRes(code=Code.DONE, version=self.version)
 
     def _add_version(
-        self, index: int, at_ms: int, operator: str, cause: str
+        self,
+        index: int,
+        at_ms: int,
+        operator: str,
+        cause: str,
+        touched: set[str] | None,
     ) -> None:
+        """Makes a version; only the touched services are derived again."""
         if self.inventory is None:
             return
-        manifest: Manifest = {}
-        for name, part in derive_parts(self.inventory, self.existing).items():
-            digest = part_digest(part)
-            self.parts.setdefault(digest, part)
-            manifest[name] = digest
         previous = self.versions[-1].parts if self.versions else {}
+        manifest = self._derive(self.inventory, previous, touched)
         info = VersionInfo(
             version=self.version + 1,
             index=index,
@@ -215,6 +247,27 @@
         if len(self.versions) > self._history:
             self._drop_versions()
 
+    def _derive(
+        self, inventory: Inventory, previous: Manifest, touched: set[str] | None
+    ) -> Manifest:
+        names = [one.name for one in inventory.register.services]
+        fresh = {
+            name
+            for name in names
+            if touched is None or name in touched or name not in previous
+        }
+        derived = derive_parts(inventory, self.existing, fresh)
+        manifest: Manifest = {}
+        for name in names:
+            part = derived.get(name)
+            if part is None:
+                manifest[name] = previous[name]
+                continue
+            digest = part_digest(part)
+            self.parts.setdefault(digest, part)
+            manifest[name] = digest
+        return manifest
+
     def _drop_versions(self) -> None:
         self.versions = self.versions[-self._history :]
         used = {
@@ -234,6 +287,8 @@
         'operator': command.operator,
         'register': msgspec.json.encode(command.register).decode(),
         'rules': msgspec.json.encode(command.rules).decode(),
+        'partial': str(command.partial),
+        'removed': ' '.join(sorted(command.removed)),
     }
     return manifest_digest(parts)
 
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -53,7 +53,7 @@
     """
 
     mesh: Annotated[str, Meta(max_length=64, min_length=1)]
-    services: Annotated[list[Service], Meta(max_length=10000, min_length=1)]
+    services: Annotated[list[Service], Meta(max_length=10000)]
 
 
 class Rule(Struct):
@@ -264,6 +264,15 @@
     register: Register
     rules: Rules
     kind: Literal['submit'] = 'submit'
+    partial: Annotated[
+        bool,
+        Meta(
+            description='Whether the register holds only the services that differ from the base.'
+        ),
+    ] = False
+    removed: Annotated[
+        list[str], Meta(description='Services that a partial register takes out.')
+    ] = field(default_factory=list)
     at_ms: int = 0
 
 
@@ -468,6 +477,17 @@
     ] = field(default_factory=dict)
 
 
+class VersionDetail(Struct):
+    """
+    One accepted version with its parts; the newest also with its sources.
+    """
+
+    info: VersionInfo
+    parts: list[Part]
+    register: Register | None = None
+    rules: Rules | None = None
+
+
 class HeldRecord(Struct):
     """
     One fact about what a node or an availability zone held.
--- a/papayalock/ui/submit.py
+++ b/papayalock/ui/submit.py
@@ -12,6 +12,7 @@
 from papayalock.core.derive import derive_parts, part_digest
 from papayalock.core.inventory import Inventory
 from papayalock.core.ledger import describe_change
+from papayalock.messages import Register, Service, VersionDetail
 from papayalock.result import Code, PapayalockError
 from papayalock.ui.client import ControlClient, client_of, put
 from papayalock.ui.files import add_files, read_inventory
@@ -60,11 +61,12 @@
         return Code.INVALID
     client = client_of(args)
     base = _current(client) if args.base is None else args.base
-    put(f'change against version {base}: {_preview(client, base, inventory)}')
+    detail = _detail(client, base)
+    put(f'change against version {base}: {_preview(detail, inventory)}')
     if not args.yes and not _confirmed():
         put('not submitted')
         return Code.DONE
-    answer = _send(client, inventory, args, base)
+    answer = _send(client, _body(detail, inventory, args, base))
     code = Code(answer['code'])
     if code != Code.DONE:
         put(f'{code.value} {code.name}: {answer["message"]}')
@@ -81,40 +83,68 @@
     )
 
 
-def _preview(client: ControlClient, base: int, inventory: Inventory) -> str:
-    previous: dict[str, str] = {}
-    existing: list[str] = []
-    if base:
-        detail = client.get('/v1/version', version=base)
-        previous = detail['info']['parts']
-        existing = [
-            part['service'] for part in detail['parts'] if part['routes']
-        ]
-    parts = derive_parts(inventory, existing)
-    current = {name: part_digest(part) for name, part in parts.items()}
+def _detail(client: ControlClient, base: int) -> VersionDetail | None:
+    if not base:
+        return None
+    found = client.get('/v1/version', version=base)
+    return msgspec.convert(found, VersionDetail)
+
+
+def _preview(detail: VersionDetail | None, inventory: Inventory) -> str:
+    previous = detail.info.parts if detail else {}
+    parts = detail.parts if detail else []
+    existing = [part.service for part in parts if part.routes]
+    current = {
+        name: part_digest(part)
+        for name, part in derive_parts(inventory, existing).items()
+    }
     return describe_change(previous, current) or 'none'
 
 
+def _change(
+    detail: VersionDetail | None, inventory: Inventory
+) -> tuple[list[Service], list[str]] | None:
+    """Returns the services that differ from the base and those gone.
+
+    None when the base's register is not kept, so that all must be sent.
+    """
+    if detail is None or detail.register is None:
+        return None
+    known = {one.name: one for one in detail.register.services}
+    wanted = {one.name: one for one in inventory.register.services}
+    changed = [one for name, one in wanted.items() if known.get(name) != one]
+    return changed, sorted(known.keys() - wanted.keys())
+
+
 def _confirmed() -> bool:
     sys.stdout.write('submit? [y/N] ')
     sys.stdout.flush()
     return sys.stdin.readline().strip().lower() in {'y', 'yes'}
 
 
-def _send(
-    client: ControlClient,
+def _body(
+    detail: VersionDetail | None,
     inventory: Inventory,
     args: argparse.Namespace,
     base: int,
-) -> Any:
-    body = {
+) -> dict[str, Any]:
+    """Returns the submission; only what differs from the base, if known."""
+    change = _change(detail, inventory)
+    services, removed = change or (inventory.register.services, [])
+    register = Register(mesh=inventory.register.mesh, services=services)
+    return {
         'kind': 'submit',
         'request': args.request or secrets.token_hex(8),
         'base': base,
         'operator': args.operator,
-        'register': msgspec.to_builtins(inventory.register),
+        'register': msgspec.to_builtins(register),
         'rules': msgspec.to_builtins(inventory.rules),
+        'partial': change is not None,
+        'removed': removed,
     }
+
+
+def _send(client: ControlClient, body: dict[str, Any]) -> Any:
     for attempt in range(RESENDS):
         try:
             return client.post('/v1/submit', body)
--- /dev/null
+++ b/test/test_config.py
@@ -0,0 +1,67 @@
+"""Settings: every one checked, errors named together."""
+
+import pytest
+
+from papayalock.config import DEFAULTS, load_settings, make_settings
+from papayalock.result import Code, SettingsError
+
+NODE = {'control': {'addresses': ['127.0.0.1:1']}}
+MEMBER = {'name': 'c', 'zone': 'z', 'address': '127.0.0.1:1', 'voter': True}
+
+
+def refused(own: dict) -> str:
+    with pytest.raises(SettingsError) as caught:
+        make_settings(own)
+    assert caught.value.code == Code.SETTINGS
+    return str(caught.value)
+
+
+class TestSettings:
+    def test_defaults_hold_for_what_is_not_named(self):
+        settings = make_settings({**NODE, 'relay': {'idle_ms': 50}})
+        assert settings.relay.idle_ms == 50
+        assert settings.relay.progress_ms == 2000
+
+    def test_an_unknown_key_is_named_with_the_nearest(self):
+        assert 'relay.idel_ms: unknown key; did you mean idle_ms?' in refused(
+            {**NODE, 'relay': {'idel_ms': 5}}
+        )
+
+    def test_every_error_is_reported_at_once(self):
+        text = refused(
+            {
+                'listen': 'nowhere',
+                'relay': {'connections': 0},
+                'gate': {'queue': 'many'},
+            }
+        )
+        assert 'listen' in text
+        assert 'relay.connections' in text
+        assert 'gate.queue' in text
+
+    def test_a_node_needs_a_control_vm(self):
+        assert 'control.addresses' in refused({})
+
+    def test_a_control_vm_needs_a_folder_and_its_own_name(self):
+        text = refused(
+            {'role': 'control', 'name': 'x', 'control': {'members': [MEMBER]}}
+        )
+        assert 'data folder' in text
+        assert 'x is missing' in text
+
+    def test_intervals_that_contradict_are_refused(self):
+        assert 'two polls' in refused(
+            {**NODE, 'membership': {'lease_ms': 1000}}
+        )
+        assert 'silence_ms' in refused({**NODE, 'relay': {'silence_ms': 150}})
+
+    @pytest.mark.parametrize('text', ['role = ', '\x00', 'a = 1\na = 2'])
+    def test_what_is_no_toml_is_refused(self, tmp_path, text):
+        path = tmp_path / 'x.toml'
+        path.write_text(text)
+        with pytest.raises(SettingsError):
+            load_settings(path)
+
+    def test_every_default_has_a_comment(self):
+        for line in DEFAULTS.read_text().splitlines():
+            assert '=' not in line or '#' in line, line
--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -1,12 +1,19 @@
 """Acceptance: racing operators, resends, existence and snapshots."""
 
+import random
+
+import msgspec
+import pytest
+
 from papayalock.core.inventory import Inventory
 from papayalock.core.ledger import Ledger
-from papayalock.messages import Rule, Rules
+from papayalock.messages import Register, Rule, Rules
 from papayalock.result import Code
 from test.inventories import LedgerDriver, example, submission, with_slots
 
 QURESHI = example('qureshi')
+OKWUOSA = example('okwuosa')
+SERVICES = ('auction-floor', 'lot-catalogue', 'valuation')
 
 
 class TestRacingOperators:
@@ -57,6 +64,83 @@
         assert driver.ledger.version == 1
 
 
+class TestPartial:
+    """A submission of only what differs makes what a whole one makes."""
+
+    def partial(
+        self,
+        driver: LedgerDriver,
+        inventory: Inventory,
+        removed: tuple[str, ...] = (),
+    ):
+        known = driver.ledger.inventory.register.services
+        changed = [
+            one for one in inventory.register.services if one not in known
+        ]
+        command = submission(
+            inventory, driver.ledger.version, f'p{driver.index}'
+        )
+        command.register = Register(
+            mesh=command.register.mesh, services=changed
+        )
+        command.partial = True
+        command.removed = list(removed)
+        return driver.apply(command)
+
+    @pytest.mark.parametrize('seed', range(10))
+    def test_it_derives_the_same_as_a_whole_one(self, seed):
+        rng = random.Random(seed)
+        whole, parts = LedgerDriver(), LedgerDriver()
+        for driver in (whole, parts):
+            driver.submit(OKWUOSA)
+        for _ in range(25):
+            if rng.random() < 0.3:
+                existing = rng.sample(SERVICES, rng.randrange(4))
+                for driver in (whole, parts):
+                    driver.exist(*existing)
+            services = [
+                msgspec.structs.replace(one, slots=rng.randrange(1, 4))
+                for one in OKWUOSA.register.services
+            ]
+            rules = [
+                Rule(
+                    name='r',
+                    action='slots',
+                    service=rng.choice(SERVICES),
+                    value=rng.randrange(1, 4),
+                )
+            ]
+            wanted = Inventory(
+                Register(mesh='m', services=services),
+                Rules(rules=rules[: rng.randrange(2)]),
+            )
+            assert (
+                whole.submit(wanted).code
+                == self.partial(parts, wanted).code
+                == Code.DONE
+            )
+            assert (
+                whole.ledger.versions[-1].parts
+                == parts.ledger.versions[-1].parts
+            )
+
+    def test_a_service_can_be_taken_out(self):
+        driver = LedgerDriver()
+        driver.submit(QURESHI)
+        rest = Inventory(
+            Register(mesh='m', services=QURESHI.register.services[:1]), Rules()
+        )
+        assert self.partial(driver, rest, ('rider-ledger',)).code == Code.DONE
+        assert set(driver.ledger.versions[-1].parts) == {'enrol-desk'}
+
+    def test_taking_out_all_services_is_refused(self):
+        driver = LedgerDriver()
+        driver.submit(QURESHI)
+        none = Inventory(Register(mesh='m', services=[]), Rules())
+        answer = self.partial(driver, none, ('rider-ledger', 'enrol-desk'))
+        assert answer.code == Code.INVALID
+
+
 class TestExistence:
     def test_routes_follow_existence(self):
         driver = LedgerDriver()
--- a/test/wires.py
+++ b/test/wires.py
@@ -37,6 +37,14 @@
     def time(self) -> float:
         return 1000.0 + self._skipped
 
+    def run_in_executor(self, executor, func, *args):
+        fut = self.create_future()
+        try:
+            fut.set_result(func(*args))
+        except Exception as exc:
+            fut.set_exception(exc)
+        return fut
+
 
 class FakeTransport(asyncio.Transport):
     """Collects what is written and notes what the protocol asks for."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developers' tools."""
