--- a/bench/calls.py
+++ b/bench/calls.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from bench.fleet import Fleets, wait_leader
+from bench.link import Links
 from bench.mesh import Mesh, get_json, wait_until
 from papayalock.messages import Register
 
@@ -24,15 +25,20 @@
     register: Register,
     servers: list[tuple[str, str, dict[str, Any]]],
     settings: dict[str, dict[str, object]] | None = None,
+    *,
+    node_links: bool = False,
 ) -> Iterator[Mesh]:
     """Runs a mesh with a node beside each server until the ``with`` ends.
 
     :param servers: service, zone and behaviour of each server
+    :param node_links: whether nodes reach each other through links
     """
     with tempfile.TemporaryDirectory() as name:
         mesh = Mesh(
             Path(name), zones, settings={**SETTINGS, **(settings or {})}
         )
+        if node_links:
+            mesh.node_links = Links()
         try:
             mesh.start_control()
             wait_leader(mesh)
--- a/bench/experiments/atmostonce.py
+++ b/bench/experiments/atmostonce.py
@@ -54,7 +54,11 @@
         for number in range(len(SERVERS))
     ]
     reads = await _reads(caller, entries, rng)
+    before = _cpu(mesh)
     calm = await _taps(caller, entries, rng, 'calm', CALM_S, taps=1)
+    busiest = max(
+        after - first for after, first in zip(_cpu(mesh), before, strict=True)
+    )
     faulty, _ = await asyncio.gather(
         _taps(caller, entries, rng, 'fault', SECONDS, taps=3),
         _chaos(mesh, random.Random(rng.random()), SECONDS),
@@ -63,6 +67,7 @@
     runs = await _runs(mesh)
     caller.close()
     figures = _verdict(calm + faulty, runs)
+    figures['claims_per_leader_core_s'] = len(calm) / busiest
     first = [one.results[0] for one in calm]
     figures['claim_added_p50_ms'] = quantile_ms(first, 50) - quantile_ms(
         reads, 50
@@ -73,6 +78,10 @@
     return figures
 
 
+def _cpu(mesh: Mesh) -> list[float]:
+    return [one.cpu_s() for one in mesh.control.values()]
+
+
 async def _reads(
     caller: Caller, entries: list[str], rng: random.Random
 ) -> list[Result]:
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -140,6 +140,7 @@
         self.zones = zones
         self.settings = settings or {}
         self.links: Links | None = None
+        self.node_links: Links | None = None
         self.control: dict[str, Process] = {}
         self.nodes: dict[str, Process] = {}
         self.backends: dict[str, Process] = {}
@@ -217,19 +218,28 @@
     def start_node(
         self, name: str, zone: str, control: list[str] | None = None
     ) -> str:
-        """Starts a node and returns its address."""
+        """Starts a node and returns its address.
+
+        With links, others reach it through one.
+        """
         address = self.node_address.setdefault(name, f'127.0.0.1:{free_port()}')
         document = {
             'role': 'node',
             'name': name,
             'zone': zone,
             'listen': address,
+            'advertise': self._advertised(name, address),
             'control': {'addresses': control or self.control_addresses(zone)},
             **self.settings,
         }
         self.nodes[name] = self._daemon(name, document)
         return address
 
+    def _advertised(self, name: str, address: str) -> str:
+        if self.node_links is None:
+            return ''
+        return self.node_links.add('nodes', name, address).address
+
     def start_backend(
         self,
         name: str,
@@ -266,8 +276,9 @@
 
     def stop(self) -> None:
         """Ends every process that this mesh started."""
-        if self.links is not None:
-            self.links.close()
+        for links in (self.links, self.node_links):
+            if links is not None:
+                links.close()
         for process in (
             *self.backends.values(),
             *self.nodes.values(),
--- a/papayalock/node/main.py
+++ b/papayalock/node/main.py
@@ -39,6 +39,7 @@
         """Builds the parts; nothing runs yet."""
         self.settings = settings
         clock = SystemClock()
+        address = settings.advertise or settings.listen
         rng = random.Random()
         relay = settings.relay
         self.pool = Pool(relay.connect_ms, relay.idle_ms, POOLED_PER_ADDRESS)
@@ -63,7 +64,7 @@
         self.agent = Agent(
             settings.name,
             settings.zone,
-            settings.listen,
+            address,
             settings.control.addresses,
             self.balancer,
             self.pool,
@@ -96,7 +97,7 @@
             clock,
             rng,
             tries=settings.retry.tries,
-            listen=settings.listen,
+            listen=address,
             incarnation=self.agent.incarnation,
         )
         counters = Counters()
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -157,6 +157,13 @@
     ]
     zone: Annotated[str, Meta(max_length=64, min_length=1)]
     listen: Annotated[str, Meta(pattern='^[0-9.]+:[0-9]+$')]
+    advertise: Annotated[
+        str,
+        Meta(
+            description='IP and port under which others reach the process; empty for the listening one.',
+            pattern='^([0-9.]+:[0-9]+)?$',
+        ),
+    ]
     data: str
     control: ControlSettings
     group: GroupSettings
