--- a/bench/agents.py
+++ b/bench/agents.py
@@ -18,7 +18,8 @@
 from papayalock.core.routing import Balancer
 from papayalock.messages import Announcement
 from papayalock.node.agent import Agent
-from papayalock.wire import Pool, Request
+from papayalock.pool import Pool
+from papayalock.wire import Request
 
 ANNOUNCE_LEASE_MS = 10_000_000
 
--- a/bench/backend.py
+++ b/bench/backend.py
@@ -14,8 +14,10 @@
 
 import uvloop
 
-from papayalock.node.http import Call, Reply, Server, ServerLimits
-from papayalock.wire import Headers, Pool, WireError, json_request
+from papayalock.node.http import Call, Reply
+from papayalock.node.listener import Server, ServerLimits
+from papayalock.pool import Pool, json_request
+from papayalock.wire import Headers, WireError
 
 MS = 1000  # milliseconds in a second
 LIMITS = ServerLimits(65536, 1 << 20, 4096)
--- a/bench/load.py
+++ b/bench/load.py
@@ -8,7 +8,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from papayalock.wire import Headers, Pool, Request, WireError
+from papayalock.pool import Pool
+from papayalock.wire import Headers, Request, WireError
 
 MAX_ANSWER_BYTES = 1 << 24
 CONNECT_MS = 1000
--- a/bench/relays.py
+++ b/bench/relays.py
@@ -5,8 +5,10 @@
 
 import uvloop
 
-from papayalock.node.http import Call, Reply, Server, ServerLimits
-from papayalock.wire import Pool, Request
+from papayalock.node.http import Call, Reply
+from papayalock.node.listener import Server, ServerLimits
+from papayalock.pool import Pool
+from papayalock.wire import Request
 
 SKIPPED = frozenset((b'content-length', b'connection', b'transfer-encoding'))
 
--- a/papayalock/control/control.py
+++ b/papayalock/control/control.py
@@ -24,9 +24,10 @@
     SubmitRes,
     ZoneReport,
 )
+from papayalock.pool import Pool, json_request
 from papayalock.ports import Clock
 from papayalock.result import Code, PapayalockError
-from papayalock.wire import Pool, Request, WireError, json_request
+from papayalock.wire import Request, WireError
 
 log = logging.getLogger(__name__)
 
--- a/papayalock/control/exchange.py
+++ b/papayalock/control/exchange.py
@@ -8,9 +8,10 @@
 
 from papayalock.control.zone import Zone
 from papayalock.messages import EndpointDelta
+from papayalock.pool import Pool
 from papayalock.ports import Clock
 from papayalock.result import Code
-from papayalock.wire import Pool, Request, WireError
+from papayalock.wire import Request, WireError
 
 log = logging.getLogger(__name__)
 
--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -32,8 +32,8 @@
 from papayalock.core.membership import EndpointTable, ExistenceTracker
 from papayalock.core.replog import Replica, ReplicaConfig
 from papayalock.messages import Member
+from papayalock.pool import Pool
 from papayalock.settings import Settings
-from papayalock.wire import Pool
 
 log = logging.getLogger(__name__)
 
--- a/papayalock/control/peers.py
+++ b/papayalock/control/peers.py
@@ -7,8 +7,9 @@
 import msgspec
 
 from papayalock.messages import PeerMessage
+from papayalock.pool import Pool, json_request
 from papayalock.result import Code
-from papayalock.wire import Pool, WireError, json_request
+from papayalock.wire import WireError
 
 log = logging.getLogger(__name__)
 
--- a/papayalock/control/zone.py
+++ b/papayalock/control/zone.py
@@ -25,6 +25,7 @@
     Refusal,
     Waiting,
     offer_without_lease,
+    zone_report,
 )
 from papayalock.messages import (
     EndpointDelta,
@@ -129,15 +130,7 @@
 
     def report(self, zone: str) -> ZoneReport:
         """Returns what this control VM can say about the release of a zone."""
-        replica = self._group.replica
-        view = replica.log.view_at(replica.durable_commit)
-        return ZoneReport(
-            member=replica.cfg.name,
-            durable_commit=replica.durable_commit,
-            released=replica.releases.get(zone, 0),
-            view_index=view.index,
-            members=view.members,
-        )
+        return zone_report(self._group.replica, zone)
 
     def wake(self) -> None:
         """Wakes the waiting nodes, as after an endpoint change."""
--- a/papayalock/node/agent.py
+++ b/papayalock/node/agent.py
@@ -18,9 +18,10 @@
     SyncReq,
     SyncRes,
 )
+from papayalock.pool import Pool, json_request
 from papayalock.ports import Clock, Random
 from papayalock.result import Code
-from papayalock.wire import Pool, WireError, json_request
+from papayalock.wire import WireError
 
 log = logging.getLogger(__name__)
 
--- a/papayalock/node/claims.py
+++ b/papayalock/node/claims.py
@@ -12,8 +12,9 @@
     ClaimRes,
     Finish,
 )
+from papayalock.pool import Pool, json_request
 from papayalock.result import Code
-from papayalock.wire import Pool, Request, WireError, json_request
+from papayalock.wire import Request, WireError
 
 log = logging.getLogger(__name__)
 
--- a/papayalock/node/dispatch.py
+++ b/papayalock/node/dispatch.py
@@ -23,16 +23,10 @@
     Trip,
     TryOutcome,
 )
+from papayalock.pool import Pool
 from papayalock.ports import Clock
 from papayalock.result import Code
-from papayalock.wire import (
-    ClientConn,
-    Headers,
-    Pool,
-    Request,
-    Response,
-    WireError,
-)
+from papayalock.wire import ClientConn, Headers, Request, Response, WireError
 
 DONE_VALUE = b'0 DONE'
 SERVICE_UNAVAILABLE = 503
--- a/papayalock/result.py
+++ b/papayalock/result.py
@@ -21,7 +21,6 @@
     KEY_REUSED = 110
     STALE_ATTEMPT = 111
     NOT_CONNECTED = 112
-    KEY_EXPIRED = 113
     # The request may have run.
     UNKNOWN_TIMEOUT = 200
     UNKNOWN_BROKEN = 201
@@ -45,7 +44,6 @@
     LEASE_RUNNING = 312
     CHANGE_PENDING = 313
     UNKNOWN_VERSION = 314
-    UNKNOWN_NODE = 315
     KEY_HELD = 316
     # Register and rules.
     SYNTAX = 400
@@ -59,7 +57,6 @@
     RULE_FIELD = 408
     MISSING_CALLER = 409
     # Applying a version on a node.
-    OLD_VERSION = 500
     WRONG_BASE = 501
     WRONG_DIGEST = 502
     DANGLING_ROUTE = 503
--- a/test/test_wire.py
+++ b/test/test_wire.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from papayalock.pool import Pool
 from papayalock.result import Code
-from papayalock.wire import Pool, Request, WireError
+from papayalock.wire import Request, WireError
 from test.wires import client
 
 GET = Request(b'GET', b'/', [(b'host', b'x')])
--- a/test/wires.py
+++ b/test/wires.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from papayalock.node.http import Server, ServerLimits
+from papayalock.node.listener import Server, ServerLimits
 from papayalock.wire import ClientConn
 
 
