--- a/papayalock/node/main.py
+++ b/papayalock/node/main.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import gc
 import logging
 import random
 import signal
@@ -30,7 +29,6 @@
 MS = 1000  # milliseconds in a second
 ANNOUNCEMENTS_PER_LEASE = 4
 POOLED_PER_ADDRESS = 64
-GC_THRESHOLD = 20_000  # allocations between two collections
 DRAIN_NOTICE_S = 0.3  # time for the announcement of the drain to go out
 
 
@@ -172,13 +170,5 @@
 
 
 async def run_node(settings: Settings) -> None:
-    """Runs a node until it is stopped.
-
-    What was built by now stays for good, so the garbage collector need not
-    look at it again, and calls leave few cycles behind.
-    """
-    node = Node(settings)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
-    await node.run()
+    """Runs a node until it is stopped."""
+    await Node(settings).run()
