--- a/papayalock/control/control.py
+++ b/papayalock/control/control.py
@@ -135,40 +135,57 @@
             self._exchange.drop_orphans()
             await self._decide_existence()
 
-    async def submit(self, command: Submit) -> SubmitRes:
+    async def submit(
+        self, command: Submit, *, forwarded: bool = False
+    ) -> SubmitRes:
         """Commits a submission, wherever the leader is.
 
+        :param forwarded: whether another control VM sent it on; it is then
+            not sent on again, since two VMs may each take the other to lead
+
         :raises PapayalockError: when no leader answered; the submission may
             have been accepted, so the sender repeats it with its request id
         """
-        answer = await self._commit(CONFIG_GROUP, command, '/v1/submit')
+        answer = await self._commit(
+            CONFIG_GROUP, command, '/v1/submit', forwarded=forwarded
+        )
         return msgspec.convert(answer, SubmitRes)
 
-    async def change_member(self, command: SetMember) -> SubmitRes:
+    async def change_member(
+        self, command: SetMember, *, forwarded: bool = False
+    ) -> SubmitRes:
         """Commits a change of the control VMs.
 
         :raises PapayalockError: when no leader answered, or it refused
         """
-        answer = await self._commit(CONFIG_GROUP, command, '/v1/member')
+        answer = await self._commit(
+            CONFIG_GROUP, command, '/v1/member', forwarded=forwarded
+        )
         return msgspec.convert(answer, SubmitRes)
 
-    async def claim(self, command: Claim | Finish) -> ClaimRes:
+    async def claim(
+        self, command: Claim | Finish, *, forwarded: bool = False
+    ) -> ClaimRes:
         """Commits a claim or an outcome in the shard of its key.
 
         :raises PapayalockError: when no leader of the shard answered
         """
         group = claims_group(shard_of(command.key, len(self.claims)))
         path = '/v1/claim' if isinstance(command, Claim) else '/v1/finish'
-        answer = await self._commit(group, command, path)
+        answer = await self._commit(group, command, path, forwarded=forwarded)
         return msgspec.convert(answer, ClaimRes)
 
-    async def _commit(self, name: str, command: Command, path: str) -> Any:
+    async def _commit(
+        self, name: str, command: Command, path: str, *, forwarded: bool
+    ) -> Any:
         group = self.groups[name]
         if group.replica.is_leader:
             if isinstance(command, SetMember):
                 return await self._change_member(command)
             return await group.propose(command)
-        return await self._forward(group, command, path)
+        if forwarded:
+            raise PapayalockError(Code.NO_LEADER, f'{self.name} does not lead')
+        return await self._forward(group, command, f'{path}?hop=1')
 
     async def _forward(self, group: Group, command: Command, path: str) -> Any:
         leader = group.replica.leader
--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -139,19 +139,31 @@
 
     async def _submit(self, request: Request) -> Response:
         command = await self._decode(request, msgspec.json.Decoder(Submit))
-        return json_response(await self._control.submit(command))
+        return json_response(
+            await self._control.submit(
+                command, forwarded=_is_forwarded(request)
+            )
+        )
 
     async def _member(self, request: Request) -> Response:
         command = await self._decode(request, msgspec.json.Decoder(SetMember))
-        return json_response(await self._control.change_member(command))
+        return json_response(
+            await self._control.change_member(
+                command, forwarded=_is_forwarded(request)
+            )
+        )
 
     async def _claim(self, request: Request) -> Response:
         command = await self._decode(request, msgspec.json.Decoder(Claim))
-        return json_response(await self._control.claim(command))
+        return json_response(
+            await self._control.claim(command, forwarded=_is_forwarded(request))
+        )
 
     async def _finish(self, request: Request) -> Response:
         command = await self._decode(request, msgspec.json.Decoder(Finish))
-        return json_response(await self._control.claim(command))
+        return json_response(
+            await self._control.claim(command, forwarded=_is_forwarded(request))
+        )
 
     async def _endpoints(self, request: Request) -> Response:
         query = Query(request)
@@ -188,6 +200,10 @@
         return json_response(reader(query))
 
 
+def _is_forwarded(request: Request) -> bool:
+    return bool(Query(request).text('hop'))
+
+
 class Query:
     """The query of a request, with checked types."""
 
--- a/papayalock/core/audit.py
+++ b/papayalock/core/audit.py
@@ -11,6 +11,7 @@
 from papayalock.result import Code
 
 DIGEST_BYTES = 32
+RELEASE_TIMES_KEPT = 1000  # releases against which lateness is judged
 HeldKind = Literal['release', 'complete', 'attach', 'detach', 'late', 'outage']
 
 
@@ -105,6 +106,8 @@
         self._record = record
         self._released_at: dict[int, int] = {}
         self._nodes: dict[str, int] = {}
+        self._behind: set[str] = set()  # nodes below the newest release
+        self._newest = 0
         self._completed = 0
 
     def restore(self, records: list[HeldRecord]) -> None:
@@ -112,15 +115,18 @@
         self.records = records[-self._keep :]
         for record in self.records:
             if record.kind == 'release':
-                self._released_at[record.version] = record.at_ms
+                self._note_release(record.version, record.at_ms)
             elif record.kind == 'complete':
                 self._completed = max(self._completed, record.version)
 
     def released(self, version: int, now_ms: int) -> None:
         """Notes that a version was released to the attached nodes."""
-        if version in self._released_at:
+        if version <= self._newest:
             return
-        self._released_at[version] = now_ms
+        self._note_release(version, now_ms)
+        self._behind = {
+            node for node, held in self._nodes.items() if held < version
+        }
         self._add('release', '', version, now_ms)
         self._check_complete(now_ms)
 
@@ -130,6 +136,10 @@
         if known == version:
             return
         self._nodes[node] = version
+        if version >= self._newest:
+            self._behind.discard(node)
+        else:
+            self._behind.add(node)
         if known is None:
             self._add('attach', node, version, now_ms)
         elif self._is_late(version, now_ms):
@@ -140,6 +150,7 @@
         """Notes that a node no longer reports."""
         version = self._nodes.pop(node, None)
         if version is not None:
+            self._behind.discard(node)
             self._add('detach', node, version, now_ms)
             self._check_complete(now_ms)
 
@@ -178,13 +189,17 @@
         released_at = self._released_at.get(version)
         return released_at is None or now_ms - released_at > self._late_ms
 
+    def _note_release(self, version: int, at_ms: int) -> None:
+        self._newest = max(self._newest, version)
+        self._released_at[version] = at_ms
+        if len(self._released_at) > RELEASE_TIMES_KEPT:
+            self._released_at.pop(next(iter(self._released_at)))
+
     def _check_complete(self, now_ms: int) -> None:
-        newest = max(self._released_at, default=0)
-        if newest <= self._completed or not self._nodes:
-            return
-        if all(version >= newest for version in self._nodes.values()):
-            self._completed = newest
-            self._add('complete', '', newest, now_ms)
+        pending = self._behind or not self._nodes
+        if self._newest > self._completed and not pending:
+            self._completed = self._newest
+            self._add('complete', '', self._newest, now_ms)
 
     def _add(
         self, kind: HeldKind, subject: str, version: int, now_ms: int
--- a/papayalock/node/agent.py
+++ b/papayalock/node/agent.py
@@ -159,6 +159,10 @@
             return False
         return True
 
+    def touch(self, service: str) -> None:
+        """Notes the use of a service, so that its subscription is kept."""
+        self._subscriptions.touch(service)
+
     def _tell_listeners(self) -> None:
         for listener in self.on_changed:
             listener()
--- a/papayalock/node/relay.py
+++ b/papayalock/node/relay.py
@@ -111,6 +111,7 @@
             if not await self._agent.subscribe(trip.service, SUBSCRIBE_S):
                 return Failed(Code.NO_ROUTE, f'no service {trip.service}')
             routes = self._agent.routes
+        self._agent.touch(trip.service)
         part = routes.parts[trip.service]
         if not part.routes:
             return Failed(
--- a/test/test_audit.py
+++ b/test/test_audit.py
@@ -92,6 +92,25 @@
                 )
         assert len(journal.written) - before == 40
 
+    def test_a_straggler_keeps_a_version_from_being_complete(self):
+        journal = Journal()
+        held = journal.held
+        for node in 'abc':
+            held.applied(node, 1, 1000)
+        held.released(2, 2000)
+        held.applied('a', 2, 2010)
+        held.applied('b', 2, 2020)
+        assert journal.written[-1].kind != 'complete'
+        held.detached('c', 3000)
+        assert journal.written[-1].kind == 'complete'
+        assert journal.versions('a', 3000) == (2, 2)
+
+    def test_release_times_are_bounded(self):
+        journal = Journal()
+        for version in range(1, 3000):
+            journal.held.released(version, version)
+        assert len(journal.held._released_at) == 1000
+
     def test_what_cannot_be_known_is_said(self):
         journal = Journal()
         held = journal.held
