Bound chunked bodies at the control interface

Cause: only a declared length was checked, so a chunked body could grow without bound. Change: the body is read piece by piece within 64 MB; past that, 310.

--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -59,6 +59,23 @@
     return json_response(body, STATUS.get(exc.code, UNAVAILABLE))
 
 
+async def read_body(request: Request) -> bytes:
+    """Returns the body of a request, chunked or not, within the bound.
+
+    :raises PapayalockError: ``MESSAGE_TOO_LARGE`` as soon as it is passed
+    """
+    pieces: list[bytes] = []
+    size = 0
+    async for piece in request.stream():
+        size += len(piece)
+        if size > MAX_BODY_BYTES:
+            raise PapayalockError(
+                Code.MESSAGE_TOO_LARGE, f'body over {MAX_BODY_BYTES} bytes'
+            )
+        pieces.append(piece)
+    return b''.join(pieces)
+
+
 class ControlServer:
     """Routes requests to the control VM's parts."""
 
@@ -115,12 +132,7 @@
     async def _decode(
         self, request: Request, decoder: 'msgspec.json.Decoder[Message]'
     ) -> Message:
-        length = request.get_first_header(b'content-length')
-        if length is not None and int(length) > MAX_BODY_BYTES:
-            raise PapayalockError(
-                Code.MESSAGE_TOO_LARGE, f'body over {MAX_BODY_BYTES} bytes'
-            )
-        body = await request.read() or b''
+        body = await read_body(request)
         try:
             return decoder.decode(body)
         except msgspec.MsgspecError as exc:
--- /dev/null
+++ b/test/test_server.py
@@ -0,0 +1,39 @@
+"""Bad input at the control interface: numbered errors and bounded memory."""
+
+import asyncio
+
+import pytest
+
+from papayalock.control import server
+from papayalock.control.server import read_body, refusal
+from papayalock.result import Code, PapayalockError
+
+
+class FakeRequest:
+    def __init__(self, pieces: int) -> None:
+        self.left = pieces
+        self.read = 0
+
+    async def stream(self):
+        while self.left:
+            self.left -= 1
+            self.read += 1
+            yield b'x' * 1000
+
+
+class TestBodies:
+    def test_a_body_within_the_bound_is_whole(self):
+        assert len(asyncio.run(read_body(FakeRequest(3)))) == 3000
+
+    def test_an_endless_body_is_refused_at_the_bound(self, monkeypatch):
+        monkeypatch.setattr(server, 'MAX_BODY_BYTES', 5000)
+        request = FakeRequest(1_000_000)
+        with pytest.raises(PapayalockError) as caught:
+            asyncio.run(read_body(request))
+        assert caught.value.code == Code.MESSAGE_TOO_LARGE
+        assert request.read == 6
+
+    def test_a_refusal_carries_its_number(self):
+        response = refusal(PapayalockError(Code.CONFLICT, 'made from 1'))
+        assert response.status == 409
+        assert b'"code":300' in response.content.body
