--- a/test/test_group.py
+++ b/test/test_group.py
@@ -13,20 +13,12 @@
 from papayalock.result import Code, PapayalockError
 from test.cluster import MemoryDisk
 from test.inventories import LedgerDriver, example, submission
-from test.wires import FastLoop
+from test.wires import FastLoop, LoopClock
 
 MEMBERS = [Member(member='a', zone='z', address='a', voter=True)]
 QURESHI = example('qureshi')
 
 
-class LoopClock:
-    def monotonic(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def wall_ms(self) -> int:
-        return int(self.monotonic() * 1000)
-
-
 class NoNetwork:
     def send(self, message) -> None:
         raise AssertionError('a single replica sends nothing')
--- a/test/test_once.py
+++ b/test/test_once.py
@@ -16,20 +16,12 @@
 from papayalock.node.trip import Delivered, Failed, Trip
 from papayalock.result import Code
 from test.inventories import example
-from test.wires import FastLoop
+from test.wires import FastLoop, LoopClock
 
 PART = derive_parts(example('qureshi'), ['enrol-desk'])['enrol-desk']
 ROUTE = RouteTable([PART]).match('enrol-desk', 'POST', '/riders/1/deposit')
 
 
-class LoopClock:
-    def monotonic(self) -> float:
-        return asyncio.get_running_loop().time()
-
-    def wall_ms(self) -> int:
-        return int(self.monotonic() * 1000)
-
-
 class FakeReply:
     def __init__(self) -> None:
         self.answers: list[tuple[int, bytes]] = []
--- a/test/wires.py
+++ b/test/wires.py
@@ -19,6 +19,16 @@
         return int(self.now * 1000)
 
 
+class LoopClock:
+    """The clock of the running loop."""
+
+    def monotonic(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def wall_ms(self) -> int:
+        return int(self.monotonic() * 1000)
+
+
 class FastLoop(asyncio.SelectorEventLoop):
     """A loop whose time jumps over every wait."""
 
