--- a/bench/experiments/convergence.py
+++ b/bench/experiments/convergence.py
@@ -7,12 +7,9 @@
 """
 
 import random
-import tempfile
 import time
-from pathlib import Path
 
-from bench.fleet import Fleets, percentile, wait_leader
-from bench.mesh import Mesh
+from bench.fleet import Fleets, percentile, running_fleets
 from bench.registers import changed, register
 
 ZONES = ['a', 'b', 'c']
@@ -48,27 +45,17 @@
 
 def _measure(seed: int, *, full_push: bool) -> dict[str, float]:
     settings = BASELINE_SETTINGS if full_push else {}
-    with tempfile.TemporaryDirectory() as name:
-        mesh = Mesh(Path(name), ZONES, settings=settings)
-        fleets = Fleets(mesh, SERVICES)
-        try:
-            mesh.start_control()
-            wait_leader(mesh)
-            whole = register(SERVICES)
-            fleets.submit(whole)
-            fleets.start(
-                PER_ZONE,
-                churn_ms=0 if full_push else CHURN_MS,
-                seed=seed,
-                full_push=full_push,
-            )
-            fleets.wait_applied(fleets.version)
-            time.sleep(SETTLE_S)
-            chosen = _baseline if full_push else _paces
-            return chosen(fleets, random.Random(seed))
-        finally:
-            fleets.stop()
-            mesh.stop()
+    with running_fleets(ZONES, SERVICES, settings) as fleets:
+        fleets.start(
+            PER_ZONE,
+            churn_ms=0 if full_push else CHURN_MS,
+            seed=seed,
+            full_push=full_push,
+        )
+        fleets.wait_applied(fleets.version)
+        time.sleep(SETTLE_S)
+        chosen = _baseline if full_push else _paces
+        return chosen(fleets, random.Random(seed))
 
 
 def submit_paced(
--- a/bench/experiments/storm.py
+++ b/bench/experiments/storm.py
@@ -5,11 +5,9 @@
 """
 
 import random
-import tempfile
 import time
-from pathlib import Path
 
-from bench.fleet import Fleets, wait_leader
+from bench.fleet import Fleets, running_fleets
 from bench.mesh import Mesh, wait_until
 from bench.registers import changed, register
 
@@ -37,24 +35,13 @@
 
 def _storm(seed: int, per_second: int) -> dict[str, float]:
     rng = random.Random(seed)
-    with tempfile.TemporaryDirectory() as name:
-        mesh = Mesh(
-            Path(name),
-            ZONES,
-            settings={'distribution': {'snapshots_per_s': per_second}},
-        )
-        fleets = Fleets(mesh, SERVICES)
-        try:
-            mesh.start_control()
-            wait_leader(mesh)
-            whole = register(SERVICES)
-            fleets.submit(whole)
-            fleets.start(PER_ZONE, seed=seed)
-            fleets.wait_applied(fleets.version)
-            return _kill_and_return(mesh, fleets, rng)
-        finally:
-            fleets.stop()
-            mesh.stop()
+    settings: dict[str, dict[str, object]] = {
+        'distribution': {'snapshots_per_s': per_second}
+    }
+    with running_fleets(ZONES, SERVICES, settings) as fleets:
+        fleets.start(PER_ZONE, seed=seed)
+        fleets.wait_applied(fleets.version)
+        return _kill_and_return(fleets.mesh, fleets, rng)
 
 
 def _kill_and_return(
--- a/bench/experiments/tradeoff.py
+++ b/bench/experiments/tradeoff.py
@@ -5,16 +5,13 @@
 """
 
 import random
-import tempfile
 import time
-from pathlib import Path
 
 import matplotlib as mpl
 
 from bench.experiments.convergence import delays, submit_paced
-from bench.fleet import Fleets, percentile, wait_leader
-from bench.mesh import ROOT, Mesh
-from bench.registers import register
+from bench.fleet import percentile, running_fleets
+from bench.mesh import ROOT
 
 mpl.use('Agg')
 
@@ -44,33 +41,21 @@
     settings: dict[str, dict[str, object]] = {
         'distribution': {'coalesce_ms': coalesce_ms}
     }
-    with tempfile.TemporaryDirectory() as name:
-        mesh = Mesh(Path(name), ZONES, settings=settings)
-        fleets = Fleets(mesh, SERVICES)
-        try:
-            mesh.start_control()
-            wait_leader(mesh)
-            fleets.submit(register(SERVICES))
-            fleets.start(PER_ZONE, seed=seed)
-            fleets.wait_applied(fleets.version)
-            time.sleep(2)
-            start = time.monotonic()
-            accepted = submit_paced(
-                fleets, random.Random(seed), SERVICES, VERSIONS, PACE_S
-            )
-            fleets.wait_applied(fleets.version)
-            time.sleep(0.3)
-            end = time.monotonic()
-            found = delays(fleets, accepted)
-            sent = (
-                fleets.bytes_between(start, end).total
-                / fleets.count
-                / (end - start)
-            )
-            return percentile(found, 0.5), percentile(found, 0.99), sent
-        finally:
-            fleets.stop()
-            mesh.stop()
+    with running_fleets(ZONES, SERVICES, settings) as fleets:
+        fleets.start(PER_ZONE, seed=seed)
+        fleets.wait_applied(fleets.version)
+        time.sleep(2)
+        start = time.monotonic()
+        accepted = submit_paced(
+            fleets, random.Random(seed), SERVICES, VERSIONS, PACE_S
+        )
+        fleets.wait_applied(fleets.version)
+        time.sleep(0.3)
+        end = time.monotonic()
+        found = delays(fleets, accepted)
+        total = fleets.bytes_between(start, end).total
+        sent = total / fleets.count / (end - start)
+        return percentile(found, 0.5), percentile(found, 0.99), sent
 
 
 def _draw(points: list[tuple[int, float, float]]) -> None:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -2,7 +2,10 @@
 
 import json
 import sys
+import tempfile
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from urllib.error import HTTPError
@@ -11,7 +14,7 @@
 import msgspec
 
 from bench.mesh import Mesh, Process, get_json, wait_until
-from bench.registers import submit_body
+from bench.registers import register, submit_body
 from papayalock.messages import Register
 
 SUBMIT_TIMEOUT_S = 20
@@ -203,6 +206,29 @@
         ]
 
 
+@contextmanager
+def running_fleets(
+    zones: list[str],
+    services: int,
+    settings: dict[str, dict[str, object]] | None = None,
+) -> Iterator[Fleets]:
+    """Runs control VMs with a generated register until the ``with`` ends.
+
+    Fleets are started in the body, and ended with the mesh.
+    """
+    with tempfile.TemporaryDirectory() as name:
+        mesh = Mesh(Path(name), zones, settings=settings)
+        fleets = Fleets(mesh, services)
+        try:
+            mesh.start_control()
+            wait_leader(mesh)
+            fleets.submit(register(services))
+            yield fleets
+        finally:
+            fleets.stop()
+            mesh.stop()
+
+
 def post_submit(
     address: str, body: bytes, timeout: float = 5
 ) -> dict[str, object] | None:
--- a/papayalock/core/distribute.py
+++ b/papayalock/core/distribute.py
@@ -106,7 +106,8 @@
         return encoded
 
     def _build(self, held: Held, info: VersionInfo) -> Delta:
-        target = self.target(held, info).manifest
+        scope = self.target(held, info)
+        target = scope.manifest
         known = self.base(held)
         base = known.manifest if known else {}
         changed = [
@@ -115,7 +116,7 @@
         return Delta(
             version=info.version,
             base=held.version if known else 0,
-            digest=manifest_digest(target),
+            digest=scope.digest,
             parts=[
                 self._ledger.parts[target[name]] for name in sorted(changed)
             ],
--- a/papayalock/core/ledger.py
+++ b/papayalock/core/ledger.py
@@ -89,10 +89,6 @@
         """Returns the parts of one kept version."""
         return {name: self.parts[digest] for name, digest in info.parts.items()}
 
-    def answer_of(self, request: str) -> SubmitRes | None:
-        """Returns the durable answer of a request id, or None."""
-        return self._requests.get(request)
-
     def apply(self, index: int, command: Command) -> SubmitRes | None:
         """Applies one committed command and returns its answer, if it has one."""
         if isinstance(command, Submit):
