--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 
 lint: setup
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 papayalock bench test tools
+	$(BIN)/flake8 papayalock bench test tools platform
 	$(BIN)/mypy papayalock bench tools
 
 generate: setup
--- a/papayalock/commands.py
+++ b/papayalock/commands.py
@@ -6,13 +6,14 @@
     Claim,
     Finish,
     Noop,
+    Publish,
     SetExistence,
     SetMember,
     Submit,
 )
 from papayalock.result import Code, PapayalockError
 
-Command = Claim | Finish | Noop | SetExistence | SetMember | Submit
+Command = Claim | Finish | Noop | Publish | SetExistence | SetMember | Submit
 
 
 class _Kind(msgspec.Struct):
@@ -25,6 +26,7 @@
     'finish': Finish,
     'member': SetMember,
     'noop': Noop,
+    'publish': Publish,
     'submit': Submit,
 }
 _KIND_DECODER = msgspec.json.Decoder(_Kind)
--- a/papayalock/config.py
+++ b/papayalock/config.py
@@ -6,6 +6,7 @@
 
 from papayalock.core.problems import Problems
 from papayalock.core.schema import check_document
+from papayalock.durations import parse_duration_ms
 from papayalock.result import Code, SettingsError
 from papayalock.settings import Settings
 
@@ -29,8 +30,9 @@
 
     :raises SettingsError: with every error found, one a line
     """
-    merged = _merge(tomllib.loads(DEFAULTS.read_text()), own)
     problems = Problems()
+    merged = _merge(tomllib.loads(DEFAULTS.read_text()), own)
+    _read_durations(merged, '', problems)
     settings = check_document(merged, Settings, problems)
     if settings is not None:
         _check_meaning(settings, problems)
@@ -51,6 +53,20 @@
     return merged
 
 
+def _read_durations(
+    table: dict[str, Any], where: str, problems: Problems
+) -> None:
+    """Replaces times with a unit by milliseconds."""
+    for key, setting in table.items():
+        if isinstance(setting, dict):
+            _read_durations(setting, f'{where}{key}.', problems)
+        elif key.endswith('_ms') and isinstance(setting, str):
+            try:
+                table[key] = parse_duration_ms(setting)
+            except ValueError as exc:
+                problems.add(Code.SETTINGS, f'{where}{key}', str(exc))
+
+
 def _check_meaning(settings: Settings, problems: Problems) -> None:
     if settings.role == 'control':
         _check_control(settings, problems)
@@ -75,6 +91,12 @@
 def _check_control(settings: Settings, problems: Problems) -> None:
     if not settings.data:
         problems.add(Code.SETTINGS, 'data', 'a control VM needs a data folder')
+    if settings.control.auto_members:
+        if not settings.control.addresses:
+            problems.add(
+                Code.SETTINGS, 'control.addresses', 'no control VM to join'
+            )
+        return
     names = [one.name for one in settings.control.members]
     if len(names) != len(set(names)):
         problems.add(Code.SETTINGS, 'control.members', 'a name is used twice')
--- a/papayalock/control/control.py
+++ b/papayalock/control/control.py
@@ -18,6 +18,11 @@
     Claim,
     ClaimRes,
     Finish,
+    Member,
+    Publish,
+    PublishRes,
+    ReadIndex,
+    RouteSet,
     SetExistence,
     SetMember,
     Submit,
@@ -163,6 +168,55 @@
         )
         return msgspec.convert(answer, SubmitRes)
 
+    async def publish(
+        self, command: Publish, *, forwarded: bool = False
+    ) -> PublishRes:
+        """Commits a route set, wherever the leader is.
+
+        :raises PapayalockError: when no leader answered; the set may have
+            been accepted, so the sender repeats it unchanged
+        """
+        answer = await self._commit(
+            CONFIG_GROUP, command, '/v1/publish', forwarded=forwarded
+        )
+        return msgspec.convert(answer, PublishRes)
+
+    async def read_index(self, *, forwarded: bool = False) -> int:
+        """Returns a log index that covers all that was accepted before.
+
+        :raises PapayalockError: when no leader proved that it leads
+        """
+        if self.config.replica.is_leader:
+            return await self.config.read_index()
+        answer = await self.ask_leader(
+            '/v1/read-index', None, forwarded=forwarded
+        )
+        return msgspec.convert(answer, ReadIndex).index
+
+    async def newest_routes(self) -> RouteSet | None:
+        """Returns the newest accepted route set, proved to be the newest.
+
+        :raises PapayalockError: when no leader proved that it leads
+        """
+        await self.config.reach(await self.read_index())
+        return self.ledger.book.current
+
+    async def ask_leader(
+        self, path: str, message: object, *, forwarded: bool
+    ) -> Any:
+        """Sends a message to the leader of the config group.
+
+        :raises PapayalockError: when no leader answered
+        """
+        if forwarded:
+            raise PapayalockError(Code.NO_LEADER, f'{self.name} does not lead')
+        return await self._forward(self.config, message, f'{path}?hop=1')
+
+    def learn_members(self, members: list[Member]) -> None:
+        """Takes in the addresses of other control VMs."""
+        for one in members:
+            self._addresses[one.member] = one.address
+
     async def claim(
         self, command: Claim | Finish, *, forwarded: bool = False
     ) -> ClaimRes:
@@ -187,7 +241,7 @@
             raise PapayalockError(Code.NO_LEADER, f'{self.name} does not lead')
         return await self._forward(group, command, f'{path}?hop=1')
 
-    async def _forward(self, group: Group, command: Command, path: str) -> Any:
+    async def _forward(self, group: Group, command: object, path: str) -> Any:
         leader = group.replica.leader
         address = self._addresses.get(leader)
         if address is None or leader == self.name:
@@ -272,8 +326,7 @@
 
     def _follow_members(self) -> None:
         members = self.config.replica.log.members
-        for one in members:
-            self._addresses[one.member] = one.address
+        self.learn_members(members)
         self._exchange.follow({one.member: one.address for one in members})
 
     async def _decide_existence(self) -> None:
--- a/papayalock/control/group.py
+++ b/papayalock/control/group.py
@@ -16,6 +16,8 @@
 
 MS = 1000  # milliseconds in a second
 DISK_RETRY_S = 0.5
+READ_WAIT_S = 0.8  # longest wait for a proof that a read is current
+READ_STEP_S = 0.005
 MAX_BATCH = 1024
 SNAPSHOT_BYTES = 67_108_864  # applied commands after which the log is compacted
 
@@ -94,6 +96,40 @@
         self._inbox.put_nowait(Proposal(command, fut))
         return await fut
 
+    async def read_index(self) -> int:
+        """Returns an index that covers all that was committed before the call.
+
+        A quorum must confirm, after the call, that this replica still leads.
+
+        :raises PapayalockError: ``NO_LEADER`` when it does not, in time
+        """
+        asked = self._clock.monotonic()
+        give_up = asked + READ_WAIT_S
+        self.replica.hasten(asked)
+        while self._clock.monotonic() < give_up:
+            index = self.replica.confirmed_index(asked)
+            if index is not None:
+                return index
+            if not self.replica.is_leader:
+                break
+            await asyncio.sleep(READ_STEP_S)
+        raise PapayalockError(
+            Code.NO_LEADER, 'no quorum confirms that this control VM leads'
+        )
+
+    async def reach(self, index: int) -> None:
+        """Waits until the entries up to an index are applied here.
+
+        :raises PapayalockError: ``NO_LEADER`` when that takes too long
+        """
+        give_up = self._clock.monotonic() + READ_WAIT_S
+        while self.replica.applied < index:
+            if self._clock.monotonic() >= give_up:
+                raise PapayalockError(
+                    Code.NO_LEADER, f'entry {index} has not arrived'
+                )
+            await asyncio.sleep(READ_STEP_S)
+
     # The task.
 
     async def run(self) -> None:
--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -20,7 +20,10 @@
 from papayalock.control.disk import FileDisk
 from papayalock.control.exchange import Exchange
 from papayalock.control.group import Group, Machine
+from papayalock.control.identity import Identity, load_identity
 from papayalock.control.journal import Journal
+from papayalock.control.members import Members
+from papayalock.control.openzone import OpenZone
 from papayalock.control.peers import PeerLinks
 from papayalock.control.server import ControlServer
 from papayalock.control.status import StatusReader
@@ -31,7 +34,9 @@
 from papayalock.core.ledger import Ledger
 from papayalock.core.membership import EndpointTable, ExistenceTracker
 from papayalock.core.replog import Replica, ReplicaConfig
-from papayalock.messages import Member
+from papayalock.core.roster import Roster
+from papayalock.dialect import OperatorDialect
+from papayalock.messages import JoinReq, Member
 from papayalock.pool import Pool
 from papayalock.settings import Settings
 
@@ -41,13 +46,14 @@
 IDLE_MS = 30_000
 POOLED_PER_ADDRESS = 8
 EPOCH_BYTES = 6
+MS = 1000  # milliseconds in a second
 STOP_S = 1  # longest wait for polls at a planned stop
 
 
 class ControlVm:
     """The parts of one control VM, wired together."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, operator: OperatorDialect) -> None:
         """Builds the parts from what the data folder holds.
 
         :raises StorageError: when the data folder is damaged
@@ -56,16 +62,11 @@
         self._clock = SystemClock()
         self._rng = random.Random()
         self._disk = FileDisk(Path(settings.data))
-        self._members = [
-            Member(
-                member=one.name,
-                zone=one.zone,
-                address=one.address,
-                voter=one.voter,
-            )
-            for one in settings.control.members
-        ]
-        addresses = {one.member: one.address for one in self._members}
+        self._identity = self._load_identity()
+        addresses = {one.name: one.address for one in settings.control.members}
+        addresses.update(
+            (one.member, one.address) for one in self._identity.first
+        )
         self.links = PeerLinks(addresses)
         self.pool = Pool(CONNECT_MS, IDLE_MS, POOLED_PER_ADDRESS)
         ledger = Ledger(
@@ -89,7 +90,7 @@
         )
         zone = self._zone(ledger)
         exchange = Exchange(
-            settings.name,
+            self._identity.member,
             zone,
             self.pool,
             self._clock,
@@ -100,7 +101,7 @@
             membership.appear_ms, membership.withdraw_ms
         )
         self.control = Control(
-            settings.name,
+            self._identity.member,
             self.groups,
             ledger,
             claims,
@@ -111,8 +112,15 @@
             self._clock,
             addresses,
         )
+        if isinstance(zone, OpenZone):
+            zone.read_index = self.control.read_index
+        self.members = self._make_members()
         self.server = ControlServer(
-            self.control, StatusReader(self.control, settings.zone), Registry()
+            self.control,
+            StatusReader(self.control, settings.zone),
+            Registry(),
+            operator,
+            self.members,
         )
 
     async def run(self) -> None:
@@ -121,6 +129,8 @@
             asyncio.create_task(group.run()) for group in self.groups.values()
         ]
         tasks.append(asyncio.create_task(self.control.run()))
+        if self._settings.control.auto_members:
+            tasks.append(asyncio.create_task(self.members.run()))
         tasks.append(asyncio.create_task(self.journal.run()))
         for task in tasks:
             task.add_done_callback(_report_end)
@@ -148,11 +158,10 @@
     def _group(self, name: str, machine: Machine) -> Group:
         cfg = self._settings.group
         storage = GroupStorage(self._disk, name)
-        first = [] if self._settings.control.join else self._members
-        restored = storage.load(first)
+        restored = storage.load(self._identity.first)
         replica_cfg = ReplicaConfig(
             name,
-            self._settings.name,
+            self._identity.member,
             tick_ms=cfg.tick_ms,
             election_ms=cfg.election_ms,
             lease_ms=cfg.lease_ms,
@@ -172,19 +181,57 @@
             cfg.snapshot_entries,
         )
 
+    def _load_identity(self) -> Identity:
+        settings = self._settings
+        address = settings.advertise or settings.listen
+        control = settings.control
+        if control.auto_members:
+            return load_identity(
+                self._disk, address, control.addresses, found=control.found
+            )
+        first = [
+            Member(
+                member=one.name,
+                zone=one.zone,
+                address=one.address,
+                voter=one.voter,
+            )
+            for one in control.members
+        ]
+        return Identity(settings.name, [] if control.join else first)
+
+    def _make_members(self) -> Members:
+        settings = self._settings
+        own = JoinReq(
+            member=self._identity.member,
+            address=settings.advertise or settings.listen,
+            zone=settings.zone,
+        )
+        roster = Roster(
+            settings.control.voters, settings.control.silent_ms / MS
+        )
+        return Members(
+            self.control,
+            own,
+            settings.control.addresses,
+            roster,
+            self.pool,
+        )
+
     def _zone(self, ledger: Ledger) -> Zone:
         settings = self._settings
         distribution = settings.distribution
-        asker = ZoneAsker(settings.name, self.pool)
+        asker = ZoneAsker(self._identity.member, self.pool)
         asker.group = self.groups[CONFIG_GROUP]
         now = self._clock.monotonic()
-        return Zone(
+        kind = OpenZone if settings.distribution.follow == 'any' else Zone
+        return kind(
             settings.zone,
             self.groups[CONFIG_GROUP],
             ledger,
             EndpointTable(
                 secrets.token_hex(EPOCH_BYTES),
-                settings.name,
+                self._identity.member,
                 settings.membership.lease_ms,
             ),
             self.journal,
@@ -205,6 +252,6 @@
         log.critical('task ended', exc_info=task.exception())
 
 
-async def run_control(settings: Settings) -> None:
+async def run_control(settings: Settings, operator: OperatorDialect) -> None:
     """Runs a control VM until it is stopped."""
-    await ControlVm(settings).run()
+    await ControlVm(settings, operator).run()
--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -11,12 +11,18 @@
 from blacksheep.server.routing import Router
 
 from papayalock.control.control import CONFIG_GROUP, Control
+from papayalock.control.members import Members
 from papayalock.control.status import StatusReader
+from papayalock.dialect import OperatorDialect
 from papayalock.messages import (
     Claim,
     ErrorBody,
     Finish,
+    JoinReq,
     PeerMessage,
+    Publish,
+    PublishRes,
+    ReadIndex,
     SetMember,
     Submit,
     SyncReq,
@@ -53,10 +59,13 @@
 
 def refusal(exc: PapayalockError) -> Response:
     """Returns the response for a numbered error."""
-    body = ErrorBody(
+    return json_response(_error_body(exc), STATUS.get(exc.code, UNAVAILABLE))
+
+
+def _error_body(exc: PapayalockError) -> ErrorBody:
+    return ErrorBody(
         code=exc.code, name=exc.code.name, message=str(exc.args[0])
     )
-    return json_response(body, STATUS.get(exc.code, UNAVAILABLE))
 
 
 async def read_body(request: Request) -> bytes:
@@ -80,12 +89,19 @@
     """Routes requests to the control VM's parts."""
 
     def __init__(
-        self, control: Control, status: StatusReader, registry: Registry
+        self,
+        control: Control,
+        status: StatusReader,
+        registry: Registry,
+        operator: OperatorDialect,
+        members: Members,
     ) -> None:
         """Builds the application; it is served by the composition root."""
         self._control = control
         self._status = status
         self._registry = registry
+        self._operator = operator
+        self._members = members
         self._requests = Counter(
             'papayalock_requests_total', 'Requests by path', registry=registry
         )
@@ -105,6 +121,9 @@
             '/v1/member': self._member,
             '/v1/claim': self._claim,
             '/v1/finish': self._finish,
+            '/v1/publish': self._publish,
+            '/v1/read-index': self._read_index,
+            '/v1/join': self._join,
         }
         reading = [f'{PREFIX}{name}' for name in self._status.readers]
         gets: dict[str, Handler] = {
@@ -117,6 +136,8 @@
             router.add_post(path, self._guarded(handler))
         for path, handler in gets.items():
             router.add_get(path, self._guarded(handler))
+        router.add_get(self._operator.path, self._guarded(self._routes))
+        router.add_put(self._operator.path, self._guarded(self._put_routes))
         return Application(router=router)
 
     def _guarded(self, handler: Handler) -> Handler:
@@ -177,6 +198,67 @@
             await self._control.claim(command, forwarded=_is_forwarded(request))
         )
 
+    async def _publish(self, request: Request) -> Response:
+        command = await self._decode(request, msgspec.json.Decoder(Publish))
+        return json_response(
+            await self._control.publish(
+                command, forwarded=_is_forwarded(request)
+            )
+        )
+
+    async def _read_index(self, request: Request) -> Response:
+        index = await self._control.read_index(forwarded=_is_forwarded(request))
+        return json_response(ReadIndex(index=index))
+
+    async def _join(self, request: Request) -> Response:
+        req = await self._decode(request, msgspec.json.Decoder(JoinReq))
+        return json_response(
+            await self._members.accept(req, forwarded=_is_forwarded(request))
+        )
+
+    async def _put_routes(self, request: Request) -> Response:
+        try:
+            res = await self._publish_routes(await read_body(request))
+        except PapayalockError as exc:
+            log.info(
+                'publication failed',
+                extra={'code': exc.code, 'reason': str(exc)},
+            )
+            return json_response(
+                _error_body(exc), self._operator.refused(exc.code)
+            )
+        log.info(
+            'publication answered',
+            extra={
+                'code': res.code,
+                'label': res.label,
+                'reason': res.message,
+            },
+        )
+        return json_response(res, self._operator.published(res))
+
+    async def _publish_routes(self, body: bytes) -> PublishRes:
+        return await self._control.publish(
+            Publish(route_set=self._operator.read(body))
+        )
+
+    async def _routes(self, request: Request) -> Response:
+        try:
+            routes = await self._control.newest_routes()
+        except PapayalockError as exc:
+            return json_response(
+                _error_body(exc), self._operator.refused(exc.code)
+            )
+        if routes is None:
+            missing = PapayalockError(
+                Code.UNKNOWN_VERSION, 'no routes were published yet'
+            )
+            return json_response(
+                _error_body(missing), self._operator.refused(missing.code)
+            )
+        text = self._operator.show(routes)
+        return Response(OK, None, Content(b'application/json', text))
+
     async def _endpoints(self, request: Request) -> Response:
         query = Query(request)
         zone = self._control.zone
--- a/papayalock/control/zone.py
+++ b/papayalock/control/zone.py
@@ -28,6 +28,7 @@
     zone_report,
 )
 from papayalock.messages import (
+    ControlPeer,
     EndpointDelta,
     SyncReq,
     VersionInfo,
@@ -52,6 +53,8 @@
     redirect: str = ''
     leased: bool = True
     retry_after_ms: int = 0
+    zone: str = ''
+    peers: list[ControlPeer] = msgspec.field(default_factory=list)
 
 
 class AskZone(Protocol):
@@ -144,10 +147,10 @@
 
     async def sync(self, req: SyncReq) -> Reply:
         """Answers a node's long poll."""
-        if req.zone not in self._zones():
+        if not self._in_charge(req.zone):
             return Reply(Code.WRONG_ZONE)
         self._note(req)
-        if req.version == 0 and not await self._fresh_allowed(req.zone):
+        if req.version == 0 and not await self._fresh_allowed(req):
             return await self._answer_fresh(req)
         return await self._poll(req)
 
@@ -163,6 +166,8 @@
             await self._signal.wait(left)
             reply = self._reply(req)
         reply.leased = self._group.replica.has_lease(self._clock.monotonic())
+        reply.zone = self._zone
+        reply.peers = self._peers()
         return reply
 
     def expire(self) -> None:
@@ -178,9 +183,13 @@
             self.attached.pop(name, None)
             self.journal.held.detached(name, self._clock.wall_ms())
 
-    def _zones(self) -> tuple[str, ...]:
+    def _in_charge(self, zone: str) -> bool:
         me = self._group.replica.me
-        return (self._zone, *me.adopts) if me else (self._zone,)
+        return zone == self._zone or (me is not None and zone in me.adopts)
+
+    def _peers(self) -> list[ControlPeer]:
+        """Returns the control VMs that a node may poll in place of this one."""
+        return []
 
     def _note(self, req: SyncReq) -> None:
         now = self._clock.monotonic()
@@ -203,10 +212,10 @@
         if req.endpoint is not None and self.table.attach(req.endpoint, now):
             self.wake()
 
-    async def _fresh_allowed(self, zone: str) -> bool:
+    async def _fresh_allowed(self, req: SyncReq) -> bool:
         """Waits until a restarted node may be offered the release."""
         replica = self._group.replica
-        request = FreshRequest(zone, replica)
+        request = FreshRequest(req.zone, replica)
         give_up = self._clock.monotonic() + FRESH_WAIT_S
         now = self._clock.monotonic()
         while now < give_up:
@@ -280,7 +289,12 @@
         grown = base is None or any(name not in base.manifest for name in scope)
         epoch = '' if grown else req.epoch
         return self.table.delta(
-            epoch, req.cursor, lambda endpoint: endpoint.service in scope
+            epoch,
+            req.cursor,
+            lambda endpoint: (
+                endpoint.service in scope
+                or f'policy/{endpoint.service}' in scope
+            ),
         )
 
     def _on_progress(self) -> None:
--- /dev/null
+++ b/papayalock/core/admission.py
@@ -0,0 +1,201 @@
+"""Admits calls to the slots of one backend server, in the order of their worth.
+
+Answers the load of a busy day: more calls than the slots can serve in time.
+The queue stays in front of the server, so its order can still be chosen, and a
+call that cannot end in time is refused when it arrives, while its caller can
+still do something else.
+"""
+
+import functools
+import itertools
+from dataclasses import dataclass
+
+from papayalock.core.limits import Admittance, Queued, Shed, Started
+from papayalock.messages import HopOrder, ServerLoad
+from papayalock.result import Code
+
+MS = 1000  # milliseconds in a second
+SMOOTHING = 0.08  # weight of the newest service time in its average
+FAILURE_SMOOTHING = 0.15  # weight of the newest outcome in the failing share
+FIRST_GUESS_S = 0.1  # service time assumed before the first is seen
+LEAST_WAIT_MS = 20  # shortest time after which a refused caller may come back
+MOST_WAITING = 512
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One call that wants a slot; times in monotonic seconds."""
+
+    route: str
+    rank: int
+    arrived: float
+    target_at: float
+    deadline_at: float
+    returning: bool = False
+    started: float = 0.0
+    number: int = 0
+    served: bool = False
+
+
+def job_of(order: HopOrder, now: float) -> Job:
+    """Returns the job that an order asks for."""
+    return Job(
+        route=order.route,
+        rank=order.rank,
+        arrived=now,
+        target_at=now + order.target_ms / MS,
+        deadline_at=now + order.remaining_ms / MS,
+        returning=order.returning,
+    )
+
+
+class Pace:
+    """Smoothed service times of one server, by route and over all."""
+
+    __slots__ = ('_by_route', 'overall')
+
+    def __init__(self) -> None:
+        """Starts with a guess."""
+        self._by_route: dict[str, float] = {}
+        self.overall = FIRST_GUESS_S
+
+    def note(self, route: str, taken: float) -> None:
+        """Takes in one service time in seconds."""
+        known = self._by_route.get(route)
+        if known is None:
+            if not self._by_route:
+                self.overall = taken
+            self._by_route[route] = taken
+        else:
+            self._by_route[route] = known + SMOOTHING * (taken - known)
+        self.overall += SMOOTHING * (taken - self.overall)
+
+    def of(self, route: str) -> float:
+        """Returns the expected service time of a call of a route."""
+        return self._by_route.get(route, self.overall)
+
+
+class ServerGate:
+    """The slots of one backend server and the calls that wait for them."""
+
+    def __init__(self) -> None:
+        """Starts closed: without slots until a server announces itself."""
+        self.slots = 0
+        self.pace = Pace()
+        self.failing = 0.0
+        self.running: set[Job] = set()
+        self._waiting: list[Job] = []
+        self._numbers = itertools.count()
+
+    @property
+    def jobs(self) -> int:
+        """Calls running and waiting."""
+        return len(self.running) + len(self._waiting)
+
+    def load(self) -> ServerLoad:
+        """Returns what callers are told."""
+        return ServerLoad(
+            jobs=self.jobs,
+            slots=self.slots,
+            pace_ms=round(self.pace.overall * MS, 1),
+            failing=round(self.failing, 3),
+        )
+
+    def submit(self, job: Job, now: float) -> Admittance:
+        """Starts, queues or refuses a call."""
+        job.number = next(self._numbers)
+        if not self.slots:
+            return Shed(Code.NO_SERVER, LEAST_WAIT_MS)
+        if job.deadline_at <= now:
+            return Shed(Code.DEADLINE_BEFORE_RUN, 0)
+        if len(self.running) < self.slots and not self._waiting:
+            self._start(job, now)
+            return Started()
+        wait = self.expected_wait(job)
+        if len(self._waiting) >= MOST_WAITING or not self._in_time(
+            job, now, wait
+        ):
+            return Shed(Code.SHED, self.retry_after_ms())
+        self._waiting.append(job)
+        return Queued()
+
+    def finish(self, job: Job, now: float) -> None:
+        """Frees a call's slot, or takes it out of the queue."""
+        if job in self.running:
+            self.running.discard(job)
+            if job.served:
+                self.pace.note(job.route, now - job.started)
+        elif job in self._waiting:
+            self._waiting.remove(job)
+
+    def judged(self, *, failed: bool) -> None:
+        """Notes whether a call failed at the server."""
+        self.failing += FAILURE_SMOOTHING * (float(failed) - self.failing)
+
+    def startable(self, now: float) -> list[Job]:
+        """Starts and returns the queued calls that now have a slot."""
+        started: list[Job] = []
+        order = functools.partial(self._order, now=now)
+        while self._waiting and len(self.running) < self.slots:
+            job = min(self._waiting, key=order)
+            self._waiting.remove(job)
+            self._start(job, now)
+            started.append(job)
+        return started
+
+    def overdue(self, now: float) -> list[Job]:
+        """Removes and returns the queued calls that cannot end in time."""
+        late = [one for one in self._waiting if self.too_late_at(one) <= now]
+        for job in late:
+            self._waiting.remove(job)
+        return late
+
+    def too_late_at(self, job: Job) -> float:
+        """Returns the time from which a call is not worth starting."""
+        given = job.deadline_at - job.arrived
+        return job.deadline_at - min(self.pace.of(job.route), given / 2)
+
+    def close(self) -> list[Job]:
+        """Empties the queue and returns the calls that were in it."""
+        waiting = self._waiting
+        self._waiting = []
+        return waiting
+
+    def retry_after_ms(self) -> int:
+        """Returns when a refused caller may expect room."""
+        ahead = sum(self.pace.of(one.route) for one in self._waiting)
+        wait = (ahead + self.pace.overall) / max(1, self.slots)
+        return max(LEAST_WAIT_MS, int(MS * wait))
+
+    def expected_wait(self, job: Job) -> float:
+        """Returns the seconds until a new call would get a slot."""
+        now = job.arrived
+        own = self._order(job, now)
+        ahead = sum(
+            self.pace.of(one.route)
+            for one in self._waiting
+            if self._order(one, now) < own
+        )
+        free = len(self.running) < self.slots
+        first = 0.0 if free else self.pace.overall
+        return (ahead + first) / max(1, self.slots)
+
+    def _in_time(self, job: Job, now: float, wait: float) -> bool:
+        """Whether a call would end within its objective, or was late before.
+
+        A call that has missed its objective already is worth little, so it
+        waits for a slot only when there is one soon.
+        """
+        service = self.pace.of(job.route)
+        if job.target_at - now >= service:
+            return now + wait + service <= job.target_at
+        return wait <= service and now + wait + service <= job.deadline_at
+
+    def _order(self, job: Job, now: float) -> tuple[float, ...]:
+        """Returns the sort key of a call: rank, those that came back, age."""
+        late = job.target_at - now < self.pace.of(job.route)
+        return (job.rank, late, not job.returning, job.number)
+
+    def _start(self, job: Job, now: float) -> None:
+        job.started = now
+        self.running.add(job)
--- /dev/null
+++ b/papayalock/core/again.py
@@ -0,0 +1,70 @@
+"""Decides what follows a try of a host-routed call that gave no good answer."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from papayalock.core.budget import SharedBudget
+from papayalock.result import Code
+
+
+class Step(Enum):
+    """What a node does next with a call."""
+
+    ASK_ANOTHER = 'ask another'
+    REPEAT = 'repeat'
+    GIVE_UP = 'give up'
+
+
+REFUSED_FREELY = frozenset(
+    (
+        Code.SHED,
+        Code.DRAINING,
+        Code.NO_SERVER,
+        Code.OTHER_SERVER,
+        Code.NOT_CONNECTED,
+    )
+)
+
+
+@dataclass(slots=True)
+class Course:
+    """What has become of one call so far."""
+
+    repeatable: bool
+    most_runs: int
+    most_asked: int
+    deadline_at: float
+    asked: int = 0  # nodes that refused before their server saw the call
+    runs: int = 0  # servers that may have run the call
+
+
+def next_step(
+    course: Course,
+    code: Code,
+    *,
+    arrived: bool,
+    now: float,
+    pace_s: float,
+    budget: SharedBudget,
+    nodes: int,
+) -> Step:
+    """Returns what follows a try that ended with a code.
+
+    A try that no server saw costs nothing, so another server is asked. What a
+    server refused, or may have run, counts against the budget; a call that
+    may not be repeated goes on only when the code proves that it was not run.
+
+    :param arrived: whether the call reached a backend server
+    :param pace_s: time that a further run is expected to take
+    """
+    if now >= course.deadline_at:
+        return Step.GIVE_UP
+    if code.not_run and not arrived:
+        free = code in REFUSED_FREELY and course.asked < course.most_asked
+        return Step.ASK_ANOTHER if free else Step.GIVE_UP
+    if not code.not_run and not course.repeatable:
+        return Step.GIVE_UP
+    worth_it = now + pace_s / 2 < course.deadline_at
+    if course.runs >= course.most_runs or not worth_it:
+        return Step.GIVE_UP
+    return Step.REPEAT if budget.take(now, nodes) else Step.GIVE_UP
--- a/papayalock/core/apply.py
+++ b/papayalock/core/apply.py
@@ -1,5 +1,6 @@
 """A node's applied configuration: replaced as a whole and never by an older one."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from papayalock.core.derive import Manifest, manifest_digest, part_digest
@@ -59,7 +60,7 @@
                 f'based on {delta.base}, holds {self.version}',
             )
         parts = self._merged(delta)
-        manifest = {name: part_digest(part) for name, part in parts.items()}
+        manifest = self._manifest_of(parts, delta)
         if manifest_digest(manifest) != delta.digest:
             return Rejected(
                 delta.version, Code.WRONG_DIGEST, 'manifest digest differs'
@@ -73,6 +74,12 @@
         self.version = delta.version
         return Applied(delta.version)
 
+    def _manifest_of(self, parts: dict[str, Part], delta: Delta) -> Manifest:
+        """Returns the manifest; digests of unchanged parts are known."""
+        known = self.manifest if delta.base else {}
+        fresh = {part.service: part_digest(part) for part in delta.parts}
+        return {name: fresh.get(name) or known[name] for name in parts}
+
     def _is_old(self, delta: Delta) -> bool:
         if delta.version == self.version:
             return delta.digest == self.digest
@@ -90,7 +97,16 @@
 def dangling_route(parts: dict[str, Part]) -> str:
     """Returns a description of the first route without its resource, or ''."""
     for part in parts.values():
-        for route in part.routes:
-            if route.cluster not in parts:
-                return f'route {part.service}.{route.operation} needs {route.cluster}'
+        for needed, name in _needs(part):
+            if needed not in parts:
+                return f'route {name} needs {needed}'
     return ''
+
+
+def _needs(part: Part) -> Iterator[tuple[str, str]]:
+    """Yields the parts that a part's routes need, each with the route."""
+    for route in part.routes:
+        yield route.cluster, f'{part.service}.{route.operation}'
+    if part.host_route is not None:
+        for share in part.host_route.shares:
+            yield f'policy/{share.service}', part.service
--- /dev/null
+++ b/papayalock/core/controlchoice.py
@@ -0,0 +1,88 @@
+"""Chooses the control VM that a node polls."""
+
+from collections.abc import Iterable
+
+from papayalock.messages import ControlPeer
+from papayalock.ports import Random
+
+SHUN_S = 0.5  # first time for which a silent control VM is passed over
+MOST_SHUN_S = 4.0
+OWN_ZONE, UNKNOWN_ZONE, OTHER_ZONE = range(3)  # in the order of preference
+
+
+class ControlChoice:
+    """Prefers a control VM of the node's zone, and any over a silent one."""
+
+    __slots__ = (
+        '_current',
+        '_failures',
+        '_rng',
+        '_seeds',
+        '_shunned',
+        '_zone',
+        '_zones',
+    )
+
+    def __init__(self, zone: str, seeds: Iterable[str], rng: Random) -> None:
+        """Starts with the seeds, whose zones are not known yet."""
+        self._zone = zone
+        self._rng = rng
+        self._seeds = list(seeds)
+        self._zones: dict[str, str] = dict.fromkeys(self._seeds, '')
+        self._shunned: dict[str, float] = {}
+        self._failures: dict[str, int] = {}
+        self._current = ''
+
+    @property
+    def count(self) -> int:
+        """The number of control VMs known."""
+        return len(self._zones)
+
+    def choose(self, now: float) -> str:
+        """Returns the address to poll next."""
+        ranked = [
+            (self._rank(address, now), address) for address in self._zones
+        ]
+        best = min(rank for rank, _ in ranked)
+        same = [address for rank, address in ranked if rank == best]
+        if self._current not in same:
+            self._current = same[self._rng.randrange(len(same))]
+        return self._current
+
+    def answered(
+        self, address: str, zone: str, peers: Iterable[ControlPeer]
+    ) -> None:
+        """Notes an answer and the control VMs that it names."""
+        self._failures.pop(address, None)
+        self._shunned.pop(address, None)
+        listed = {one.address: one.zone for one in peers}
+        if listed:
+            self._zones = {
+                name: listed[name] or self._zones.get(name, '')
+                for name in listed
+            }
+        self._zones[address] = zone
+
+    def failed(self, address: str, now: float) -> None:
+        """Notes silence, or an answer that told nothing current."""
+        count = self._failures.get(address, 0)
+        self._failures[address] = count + 1
+        self._shunned[address] = now + min(SHUN_S * 2**count, MOST_SHUN_S)
+        if all(self._shunned.get(one, now) > now for one in self._zones):
+            for seed in self._seeds:
+                self._zones.setdefault(seed, '')
+
+    def reseed(self, seeds: Iterable[str]) -> None:
+        """Takes other seeds from changed settings."""
+        self._seeds = list(seeds)
+        for seed in self._seeds:
+            self._zones.setdefault(seed, '')
+
+    def _rank(self, address: str, now: float) -> tuple[float, ...]:
+        shunned_until = self._shunned.get(address, now)
+        if shunned_until > now:
+            return (1, shunned_until)
+        zone = self._zones[address]
+        if zone == self._zone:
+            return (0, OWN_ZONE)
+        return (0, OTHER_ZONE if zone else UNKNOWN_ZONE)
--- a/papayalock/core/derive.py
+++ b/papayalock/core/derive.py
@@ -95,9 +95,9 @@
 def in_scope(part: Part, service: str, extra: Iterable[str]) -> bool:
     """Whether a node of ``service`` holds a part.
 
-    It holds its own service, the services that name it as a caller, and those
+    It holds the shared parts, its own service, the services that name it as a caller, and those
     it subscribed to on demand.
     """
-    if part.service == service or part.service in extra:
+    if part.shared or part.service == service or part.service in extra:
         return True
     return service in part.callers and ANYONE not in part.callers
--- a/papayalock/core/ledger.py
+++ b/papayalock/core/ledger.py
@@ -16,9 +16,12 @@
     check_inventory,
     merged_register,
 )
+from papayalock.core.routebook import BookState, RouteBook
 from papayalock.messages import (
     AuditRecord,
     Part,
+    Publish,
+    PublishRes,
     Register,
     Rules,
     SetExistence,
@@ -30,6 +33,7 @@
 from papayalock.result import Code
 
 REQUESTS_KEPT = 10000  # request ids whose answers are kept
+SHARED_MARK = '/'  # in the names of parts that come from the route book
 
 
 class LedgerState(msgspec.Struct):
@@ -43,6 +47,7 @@
     requests: dict[str, SubmitRes]
     fingerprints: dict[str, str]
     audit: list[AuditRecord]
+    book: BookState = msgspec.field(default_factory=BookState)
 
 
 class Ledger:
@@ -59,6 +64,7 @@
         self.versions: list[VersionInfo] = []
         self.parts: dict[str, Part] = {}
         self.audit = AuditTrail(audit_records)
+        self.book = RouteBook()
         self._history = history
         self._requests: dict[str, SubmitRes] = {}
         self._fingerprints: dict[str, str] = {}
@@ -89,10 +95,14 @@
         """Returns the parts of one kept version."""
         return {name: self.parts[digest] for name, digest in info.parts.items()}
 
-    def apply(self, index: int, command: Command) -> SubmitRes | None:
+    def apply(
+        self, index: int, command: Command
+    ) -> SubmitRes | PublishRes | None:
         """Applies one committed command and returns its answer, if it has one."""
         if isinstance(command, Submit):
             return self._submit(index, command)
+        if isinstance(command, Publish):
+            return self._publish(index, command)
         if isinstance(command, SetExistence):
             self._set_existence(index, command)
         elif isinstance(command, SetMember):
@@ -111,6 +121,7 @@
             requests=self._requests,
             fingerprints=self._fingerprints,
             audit=self.audit.records,
+            book=self.book.state,
         )
         return msgspec.json.encode(state).decode()
 
@@ -128,6 +139,7 @@
         self._requests = state.requests
         self._fingerprints = state.fingerprints
         self.audit.records = state.audit
+        self.book.state = state.book
 
     def _submit(self, index: int, command: Submit) -> SubmitRes:
         fingerprint = submit_fingerprint(command)
@@ -198,6 +210,28 @@
         if self.inventory is not None:
             self._add_version(index, command.at_ms, '', 'existence', touched)
 
+    def _publish(self, index: int, command: Publish) -> PublishRes:
+        answer, fresh = self.book.publish(command.route_set)
+        if fresh:
+            manifest = {
+                name: digest
+                for name, digest in self._newest_parts().items()
+                if SHARED_MARK not in name
+            }
+            manifest.update(self._hold(part) for part in self.book.parts())
+            self._record_version(
+                index, command.at_ms, command.operator, 'routes', manifest
+            )
+        return answer
+
+    def _newest_parts(self) -> Manifest:
+        return self.versions[-1].parts if self.versions else {}
+
+    def _hold(self, part: Part) -> tuple[str, str]:
+        digest = part_digest(part)
+        self.parts.setdefault(digest, part)
+        return part.service, digest
+
     def _note_member(self, index: int, command: SetMember) -> SubmitRes:
         detail = f'{command.action} {command.member.member}'
         self.audit.add(
@@ -221,8 +255,24 @@
         """Makes a version; only the touched services are derived again."""
         if self.inventory is None:
             return
-        previous = self.versions[-1].parts if self.versions else {}
+        previous = self._newest_parts()
         manifest = self._derive(self.inventory, previous, touched)
+        manifest.update(
+            (name, digest)
+            for name, digest in previous.items()
+            if SHARED_MARK in name
+        )
+        self._record_version(index, at_ms, operator, cause, manifest)
+
+    def _record_version(
+        self,
+        index: int,
+        at_ms: int,
+        operator: str,
+        cause: str,
+        manifest: Manifest,
+    ) -> None:
+        previous = self._newest_parts()
         info = VersionInfo(
             version=self.version + 1,
             index=index,
@@ -259,9 +309,7 @@
             if part is None:
                 manifest[name] = previous[name]
                 continue
-            digest = part_digest(part)
-            self.parts.setdefault(digest, part)
-            manifest[name] = digest
+            manifest[name] = self._hold(part)[1]
         return manifest
 
     def _drop_versions(self) -> None:
--- a/papayalock/core/replica.py
+++ b/papayalock/core/replica.py
@@ -254,6 +254,23 @@
         """Grants a control VM leases again, unless it is fenced."""
         self._lease_stopped.discard(member)
 
+    def hasten(self, now: float) -> None:
+        """Lets the next heartbeat go out now."""
+        self._next_beat = min(self._next_beat, now)
+
+    def confirmed_index(self, asked: float) -> int | None:
+        """Returns the commit index, if it covers all commits before ``asked``.
+
+        That needs an entry of the leader's own term to be committed, and a
+        quorum that answered a heartbeat sent at ``asked`` or later.
+        """
+        if not self.is_leader or self.commit < self._term_start:
+            return None
+        heard = [
+            name for name in self._voters() if self._heard_since(name, asked)
+        ]
+        return self.commit if len(heard) >= self._majority() else None
+
     def change_allowed(self) -> bool:
         """Whether a member change may be proposed now.
 
--- a/papayalock/daemon.py
+++ b/papayalock/daemon.py
@@ -5,18 +5,41 @@
 import contextlib
 import logging
 import sys
+from collections.abc import Coroutine
+from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 import uvloop
 
 from papayalock.config import load_settings
+from papayalock.dialect import (
+    AnnouncementDialect,
+    CallDialect,
+    NodeDialects,
+    OperatorDialect,
+)
 from papayalock.logs import start_logging
+from papayalock.native import (
+    NativeAnnouncements,
+    NativeCalls,
+    NativeOperator,
+)
 from papayalock.result import PapayalockError
 from papayalock.settings import Settings
 
 log = logging.getLogger(__name__)
 
 
+@dataclass(slots=True, frozen=True)
+class Dialects:
+    """The translations between a platform's terms and the project's."""
+
+    calls: CallDialect
+    announcements: AnnouncementDialect
+    operator: OperatorDialect
+
+
 def parse_args(argv: list[str]) -> argparse.Namespace:
     """Returns the parsed command line."""
     parser = argparse.ArgumentParser(
@@ -35,31 +58,57 @@
 def main() -> int:
     """Runs the daemon; returns the exit status."""
     args = parse_args(sys.argv[1:])
+    if args.config:
+        return run_file(args.config, native_dialects())
     try:
-        settings = load_settings(args.config or args.check)
-        if args.check:
-            sys.stdout.write(f'{args.check}: ok\n')
-            return 0
-        start_logging(settings.log.level, settings.name)
-        run_daemon(settings)
+        load_settings(args.check)
     except PapayalockError as exc:
         sys.stderr.write(f'papayalockd: {exc}\n')
         return 1
+    sys.stdout.write(f'{args.check}: ok\n')
     return 0
 
 
-def run_daemon(settings: Settings) -> None:
-    """Runs the role that the settings name, until a signal stops it.
+def native_dialects() -> Dialects:
+    """Returns the project's own terms."""
+    return Dialects(NativeCalls(), NativeAnnouncements(), NativeOperator())
+
+
+def run_file(path: Path, dialects: Dialects) -> int:
+    """Runs the daemon on a settings file; returns the exit status."""
+    try:
+        settings = load_settings(path)
+        start_logging(settings.log.level, settings.name)
+        run_daemon(settings, dialects)
+    except PapayalockError as exc:
+        sys.stderr.write(f'papayalockd: {exc}\n')
+        return 1
+    return 0
+
 
-    A node does not import what only a control VM needs.
-    """
-    if settings.role == 'node':
-        from papayalock.node.main import run_node as run
-    else:
-        from papayalock.control.main import run_control as run
+def run_daemon(settings: Settings, dialects: Dialects) -> None:
+    """Runs the role that the settings name, until a signal stops it."""
     with contextlib.suppress(KeyboardInterrupt):
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(run(settings))
+            runner.run(_role(settings, dialects))
+
+
+def _role(
+    settings: Settings, dialects: Dialects
+) -> 'Coroutine[Any, Any, None]':
+    """Returns the role's run; a node does not import what only control needs."""
+    if settings.role == 'control':
+        from papayalock.control.main import run_control
+
+        return run_control(settings, dialects.operator)
+    if settings.hosts.outbound:
+        from papayalock.node.hostsmain import run_host_node
+
+        node = NodeDialects(dialects.calls, dialects.announcements)
+        return run_host_node(settings, node)
+    from papayalock.node.main import run_node
+
+    return run_node(settings)
 
 
 if __name__ == '__main__':
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -106,33 +106,170 @@
     denied: list[str] = field(default_factory=list)
 
 
-class Part(Struct):
+class Share(Struct):
     """
-    Configuration of one service, the unit of distribution.
+    One service of a split route and its weight.
     """
 
-    service: str
-    slots: Annotated[int, Meta(ge=1)]
-    connections: Annotated[int, Meta(ge=1)]
-    callers: list[str]
-    routes: list[Route]
-    weights: Annotated[
-        dict[str, int], Meta(description='Weight in percent by availability zone.')
-    ] = field(default_factory=dict)
+    service: Annotated[str, Meta(max_length=128, min_length=1)]
+    weight: Annotated[float, Meta(ge=0.0)]
 
 
-class Delta(Struct):
+class HostRoute(Struct):
     """
-    Change from one configuration version to another within the scope of one node.
+    What a node does with the calls to a host below a path prefix.
     """
 
-    version: Annotated[int, Meta(ge=1)]
+    name: Annotated[str, Meta(max_length=128, min_length=1)]
+    host: Annotated[str, Meta(max_length=256, min_length=1)]
+    prefix: Annotated[
+        str,
+        Meta(
+            description='Path prefix that begins and ends with a slash.',
+            max_length=1024,
+            min_length=1,
+        ),
+    ]
+    repeatable: Annotated[
+        bool, Meta(description='Whether a call may run more than once.')
+    ]
+    timeout_ms: Annotated[int, Meta(description='Longest wait for an answer.', ge=1)]
+    target_ms: Annotated[int, Meta(description='Latency objective.', ge=0)]
+    rank: Annotated[int, Meta(description='Priority; 0 is the highest.', ge=0)]
+    tries: Annotated[
+        int,
+        Meta(description='Most backend servers that one call may be sent to.', ge=1),
+    ]
+    shares: Annotated[list[Share], Meta(min_length=1)]
+
+
+class ServicePolicy(Struct):
+    """
+    What nodes respect about the backend servers of a service.
+    """
+
+    service: Annotated[str, Meta(max_length=128, min_length=1)]
+    health_path: str = '/'
+    connections: Annotated[
+        int, Meta(description='Connections that one backend server accepts.', ge=1)
+    ] = 64
+
+
+class CallerLimits(Struct):
+    """
+    Bounds on what a caller may send, and how long it may take.
+    """
+
+    header_bytes: Annotated[int, Meta(ge=1)]
+    body_bytes: Annotated[int, Meta(ge=0)]
+    header_timeout_ms: Annotated[int, Meta(ge=1)]
+    idle_timeout_ms: Annotated[int, Meta(ge=1)]
+
+
+class RouteSet(Struct):
+    """
+    Host routes as an operator publishes them, under a label of the operator's choice.
+    """
+
+    label: Annotated[int, Meta(ge=1)]
     base: Annotated[
-        int, Meta(description='Version the change starts from; 0 for a snapshot.', ge=0)
+        int, Meta(description='Label that the set builds on; 0 for the first.', ge=0)
     ]
-    digest: Annotated[str, Meta(description='Digest of the manifest after the change.')]
-    parts: list[Part] = field(default_factory=list)
-    removed: list[str] = field(default_factory=list)
+    routes: list[HostRoute]
+    services: list[ServicePolicy]
+    limits: CallerLimits | None = None
+    source: Annotated[
+        str, Meta(description='The document as the operator sent it, for reading back.')
+    ] = ''
+
+
+class Publish(Struct):
+    """
+    Publishes a route set.
+    """
+
+    route_set: RouteSet
+    kind: Literal['publish'] = 'publish'
+    operator: Annotated[str, Meta(max_length=128)] = ''
+    at_ms: int = 0
+
+
+class PublishRes(Struct):
+    """
+    Answer to a publication.
+    """
+
+    code: int
+    label: Annotated[int, Meta(description='Label in force.')]
+    message: str = ''
+
+
+class ReadIndex(Struct):
+    """
+    Log index that covers everything committed before the question.
+    """
+
+    index: int
+
+
+class JoinReq(Struct):
+    """
+    A control VM that asks to take part in the group.
+    """
+
+    member: Annotated[str, Meta(max_length=64, min_length=1)]
+    address: Annotated[str, Meta(max_length=64)]
+    zone: Annotated[str, Meta(max_length=64)]
+
+
+class HopOrder(Struct):
+    """
+    What a node asks of the node in front of a backend server.
+    """
+
+    call: Annotated[str, Meta(description='Id of the call.', max_length=256)]
+    service: Annotated[str, Meta(max_length=128)]
+    server: Annotated[
+        str, Meta(description='Backend server that is to run it.', max_length=128)
+    ]
+    route: Annotated[str, Meta(max_length=128)]
+    repeatable: bool
+    rank: int
+    remaining_ms: Annotated[
+        int, Meta(description="Time left to the caller's deadline.")
+    ]
+    target_ms: Annotated[
+        int,
+        Meta(
+            description='Time left to the latency objective; negative once it has passed.'
+        ),
+    ]
+    caller: Annotated[
+        str, Meta(description='Service on the VM where the call began.', max_length=128)
+    ] = ''
+    returning: Annotated[
+        bool, Meta(description='Whether the caller was refused before.')
+    ] = False
+
+
+class ServerLoad(Struct):
+    """
+    Load of one backend server as the node in front of it sees it.
+    """
+
+    jobs: Annotated[int, Meta(description='Calls running and waiting.')]
+    slots: int
+    pace_ms: Annotated[float, Meta(description='Smoothed service time.')]
+    failing: Annotated[float, Meta(description='Smoothed share of failed calls.')] = 0
+
+
+class ControlPeer(Struct):
+    """
+    A control VM that nodes may poll.
+    """
+
+    address: str
+    zone: str
 
 
 class Endpoint(Struct):
@@ -159,6 +296,15 @@
     origin: Annotated[str, Meta(description='Control VM that the node reports to.')] = (
         ''
     )
+    slots: Annotated[
+        int, Meta(description='Requests that the server runs at once; 0 when unknown.')
+    ] = 0
+    born_ms: Annotated[
+        int, Meta(description='Start of the backend server, ms since the epoch.')
+    ] = 0
+    heartbeat: Annotated[
+        int, Meta(description="Sequence of the server's heartbeat that set the state.")
+    ] = 0
 
 
 class EndpointDelta(Struct):
@@ -208,26 +354,15 @@
     ] = 0
     reject_code: int = 0
     endpoint: Endpoint | None = None
+    unproven: Annotated[
+        bool,
+        Meta(
+            description='Whether a version that is not proved to be the newest is better than none.'
+        ),
+    ] = False
     wait_ms: Annotated[int, Meta(ge=0, le=60000)] = 0
 
 
-class SyncRes(Struct):
-    """
-    Answer to a node's long poll.
-    """
-
-    code: int
-    delta: Delta | None = None
-    endpoints: EndpointDelta | None = None
-    redirect: Annotated[
-        str, Meta(description='Address of the control VM to ask instead.')
-    ] = ''
-    leased: Annotated[
-        bool, Meta(description='Whether the control VM holds a serving lease.')
-    ] = True
-    retry_after_ms: int = 0
-
-
 class Announcement(Struct):
     """
     A backend server's announcement to the node in front of it.
@@ -243,6 +378,21 @@
         str, Meta(description='IP and port.', pattern='^[0-9.]+:[0-9]+$')
     ]
     draining: bool = False
+    slots: Annotated[
+        int,
+        Meta(
+            description='Requests that the server runs at once; 0 when unknown.', ge=0
+        ),
+    ] = 0
+    born_ms: Annotated[
+        int, Meta(description='Start of the server, ms since the epoch.')
+    ] = 0
+    sequence: Annotated[
+        int, Meta(description="Count of the server's announcements since its start.")
+    ] = 0
+    cold_ms: Annotated[
+        int, Meta(description='Time for which the server stays slow after its start.')
+    ] = 0
 
 
 class Noop(Struct):
@@ -477,17 +627,6 @@
     ] = field(default_factory=dict)
 
 
-class VersionDetail(Struct):
-    """
-    One accepted version with its parts; the newest also with its sources.
-    """
-
-    info: VersionInfo
-    parts: list[Part]
-    register: Register | None = None
-    rules: Rules | None = None
-
-
 class HeldRecord(Struct):
     """
     One fact about what a node or an availability zone held.
@@ -523,6 +662,71 @@
     retry_after_ms: int = 0
 
 
+class Part(Struct):
+    """
+    Configuration of one service, the unit of distribution.
+    """
+
+    service: str
+    slots: Annotated[int, Meta(ge=1)]
+    connections: Annotated[int, Meta(ge=1)]
+    callers: list[str]
+    routes: list[Route]
+    weights: Annotated[
+        dict[str, int], Meta(description='Weight in percent by availability zone.')
+    ] = field(default_factory=dict)
+    shared: Annotated[
+        bool,
+        Meta(description='Whether every node holds the part, whatever its service.'),
+    ] = False
+    host_route: HostRoute | None = None
+    policy: ServicePolicy | None = None
+    limits: CallerLimits | None = None
+
+
+class JoinRes(Struct):
+    """
+    The control VMs of the group.
+    """
+
+    members: list[Member]
+
+
+class Delta(Struct):
+    """
+    Change from one configuration version to another within the scope of one node.
+    """
+
+    version: Annotated[int, Meta(ge=1)]
+    base: Annotated[
+        int, Meta(description='Version the change starts from; 0 for a snapshot.', ge=0)
+    ]
+    digest: Annotated[str, Meta(description='Digest of the manifest after the change.')]
+    parts: list[Part] = field(default_factory=list)
+    removed: list[str] = field(default_factory=list)
+
+
+class SyncRes(Struct):
+    """
+    Answer to a node's long poll.
+    """
+
+    code: int
+    delta: Delta | None = None
+    endpoints: EndpointDelta | None = None
+    redirect: Annotated[
+        str, Meta(description='Address of the control VM to ask instead.')
+    ] = ''
+    leased: Annotated[
+        bool, Meta(description='Whether the control VM holds a serving lease.')
+    ] = True
+    retry_after_ms: int = 0
+    zone: Annotated[str, Meta(description='Availability zone of the control VM.')] = ''
+    peers: Annotated[
+        list[ControlPeer], Meta(description='Control VMs that the node may poll.')
+    ] = field(default_factory=list)
+
+
 class ZoneReport(Struct):
     """
     What one control VM of a zone says of itself, for a zone without a leader.
@@ -572,3 +776,14 @@
     ] = 0
     problems: list[Problem] = field(default_factory=list)
     message: str = ''
+
+
+class VersionDetail(Struct):
+    """
+    One accepted version with its parts; the newest also with its sources.
+    """
+
+    info: VersionInfo
+    parts: list[Part]
+    register: Register | None = None
+    rules: Rules | None = None
--- a/papayalock/node/agent.py
+++ b/papayalock/node/agent.py
@@ -3,12 +3,12 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
-from typing import Any, Literal
+from typing import Any, Literal, Protocol
 
 import msgspec
 
 from papayalock.core.apply import Applied, Configuration, Rejected
-from papayalock.core.routing import Balancer, RouteTable
+from papayalock.core.routing import RouteTable
 from papayalock.core.subscriptions import Subscriptions
 from papayalock.messages import (
     Announcement,
@@ -32,9 +32,26 @@
 OK = 200
 BACKOFF_FIRST_S = 0.05
 BACKOFF_LIMIT_S = 2.0
+State = Literal['ready', 'draining', 'left']
 _SYNC_RES = msgspec.json.Decoder(SyncRes)
 
 
+class Directory(Protocol):
+    """Where the agent keeps the endpoints."""
+
+    def upsert(self, endpoint: Endpoint, now: float) -> None:
+        """Takes in an announced endpoint."""
+        ...
+
+    def remove(self, name: str) -> None:
+        """Forgets a server."""
+        ...
+
+    def replace_all(self, endpoints: Iterable[Endpoint], now: float) -> None:
+        """Takes in a whole table."""
+        ...
+
+
 class Backend:
     """The backend server beside this node, as it announced itself."""
 
@@ -62,7 +79,7 @@
         zone: str,
         listen: str,
         addresses: list[str],
-        balancer: Balancer,
+        balancer: Directory,
         pool: Pool,
         clock: Clock,
         rng: Random,
@@ -70,6 +87,7 @@
         poll_ms: int,
         extra_services: int,
         announce_lease_ms: int,
+        margin_ms: int = MARGIN_MS,
     ) -> None:
         """Starts with nothing in force."""
         self.configuration = Configuration()
@@ -88,6 +106,7 @@
         self._clock = clock
         self._rng = rng
         self._poll_ms = poll_ms
+        self._margin_ms = margin_ms
         self._announce_lease = announce_lease_ms / MS
         self._subscriptions = Subscriptions(extra_services, UNKNOWN_MS)
         self._held_service = ''
@@ -197,7 +216,7 @@
         )
         try:
             status, body = await self._pool.exchange(
-                address, req, wait_ms + MARGIN_MS, MAX_ANSWER_BYTES
+                address, req, wait_ms + self._margin_ms, MAX_ANSWER_BYTES
             )
             if status != OK:
                 raise WireError(Code.UNREACHABLE, f'status {status}', sent=True)
@@ -324,7 +343,7 @@
             state=self._state(),
         )
 
-    def _state(self) -> Literal['ready', 'draining', 'left']:
+    def _state(self) -> State:
         if self._clock.monotonic() >= self.backend.expires:
             return 'left'
         return 'draining' if self.backend.draining else 'ready'
--- a/papayalock/node/gate.py
+++ b/papayalock/node/gate.py
@@ -1,14 +1,24 @@
 """The waiting side of the gate: calls that hold or wait for a slot."""
 
 import asyncio
+from typing import Generic, Protocol, TypeVar
 
 from papayalock.core.disciplines import Job
-from papayalock.core.limits import Gate, Queued, Shed
+from papayalock.core.limits import Admittance, Gate, Queued, Shed
 from papayalock.messages import Part
 from papayalock.ports import Clock
 from papayalock.result import Code
 
 
+class Arriving(Protocol):
+    """A call that knows when it arrived."""
+
+    arrived: float
+
+
+AnyJob = TypeVar('AnyJob', bound=Arriving)
+
+
 class Refused(Exception):
     """A call that did not get a slot and was not run."""
 
@@ -19,12 +29,40 @@
         self.retry_after_ms = retry_after_ms
 
 
-class Slot:
-    """Holds a slot of a :class:`GateQueue` while its body runs."""
+class Admitting(Protocol[AnyJob]):
+    """Decides which calls run; see ``limits.Gate`` and ``admission.ServerGate``."""
+
+    def submit(self, job: AnyJob, now: float) -> Admittance:
+        """Starts, queues or refuses a call."""
+        ...
+
+    def finish(self, job: AnyJob, now: float) -> None:
+        """Frees a call's slot, or takes it out of the queue."""
+        ...
+
+    def startable(self, now: float) -> list[AnyJob]:
+        """Starts and returns the queued calls that now have a slot."""
+        ...
+
+    def overdue(self, now: float) -> list[AnyJob]:
+        """Removes and returns queued calls that cannot end in time."""
+        ...
+
+    def too_late_at(self, job: AnyJob) -> float:
+        """Returns the time from which a call is not worth starting."""
+        ...
+
+    def retry_after_ms(self) -> int:
+        """Returns when a refused caller may expect room."""
+        ...
+
+
+class Slot(Generic[AnyJob]):
+    """Holds a slot of a :class:`JobQueue` while its body runs."""
 
     __slots__ = ('_job', '_queue')
 
-    def __init__(self, queue: 'GateQueue', job: Job) -> None:
+    def __init__(self, queue: 'JobQueue[AnyJob]', job: AnyJob) -> None:
         """Binds the job to its queue."""
         self._queue = queue
         self._job = job
@@ -41,59 +79,45 @@
         self._queue.leave(self._job)
 
 
-class GateQueue:
-    """Gives slots of a :class:`Gate` to calls and refuses the rest at once."""
+class JobQueue(Generic[AnyJob]):
+    """Gives slots to calls and refuses the rest at once."""
 
-    def __init__(self, gate: Gate, clock: Clock) -> None:
+    def __init__(self, admission: Admitting[AnyJob], clock: Clock) -> None:
         """Starts without calls."""
-        self.gate = gate
+        self._admission = admission
         self._clock = clock
-        self._waiting: dict[Job, asyncio.Future[None]] = {}
-
-    def resize(self, part: Part | None) -> None:
-        """Takes the slots and connections of the configuration in force."""
-        self.gate.slots = part.slots if part else 0
-        self.gate.connections = part.connections if part else 0
-        self._start_ready()
+        self._waiting: dict[AnyJob, asyncio.Future[None]] = {}
 
-    def drain(self) -> None:
-        """Refuses new calls, and those that still wait, at once."""
-        self.gate.draining = True
+    def expel(self, code: Code) -> None:
+        """Refuses all calls that wait."""
         for job, fut in list(self._waiting.items()):
-            self.gate.finish(job, self._clock.monotonic())
+            self._admission.finish(job, self._clock.monotonic())
             if not fut.done():
-                fut.set_exception(Refused(Code.DRAINING))
+                fut.set_exception(Refused(code))
         self._waiting.clear()
 
-    def slot(self, priority: str, deadline: float) -> 'Slot':
-        """Returns what holds a slot for the body of a ``with`` statement.
-
-        :param deadline: monotonic seconds by which the call must have started
-        """
-        return Slot(self, Job(priority, deadline, self._clock.monotonic()))
-
-    async def enter(self, job: Job) -> None:
+    async def enter(self, job: AnyJob) -> None:
         """Waits until a job has its slot.
 
         :raises Refused: when it gets none
         """
-        admittance = self.gate.submit(job, job.arrived)
+        admittance = self._admission.submit(job, job.arrived)
         if isinstance(admittance, Shed):
             raise Refused(admittance.code, admittance.retry_after_ms)
         if isinstance(admittance, Queued):
             await self._wait(job)
 
-    def leave(self, job: Job) -> None:
+    def leave(self, job: AnyJob) -> None:
         """Frees the slot of a job, or its place in the queue."""
-        self.gate.finish(job, self._clock.monotonic())
+        self._admission.finish(job, self._clock.monotonic())
         if self._waiting:
-            self._start_ready()
+            self.start_ready()
 
-    async def _wait(self, job: Job) -> None:
+    async def _wait(self, job: AnyJob) -> None:
         loop = asyncio.get_running_loop()
         fut = loop.create_future()
         self._waiting[job] = fut
-        left = self.gate.too_late_at(job) - self._clock.monotonic()
+        left = self._admission.too_late_at(job) - self._clock.monotonic()
         timer = loop.call_later(max(0.0, left), self.expire, job)
         try:
             await fut
@@ -104,23 +128,50 @@
             timer.cancel()
             self._waiting.pop(job, None)
 
-    def expire(self, job: Job) -> None:
+    def expire(self, job: AnyJob) -> None:
         """Refuses a waiting job that can no longer end in time."""
-        self.gate.finish(job, self._clock.monotonic())
+        self._admission.finish(job, self._clock.monotonic())
         self._refuse(job)
 
-    def _start_ready(self) -> None:
+    def start_ready(self) -> None:
         """Refuses what is too late, then starts what there are slots for."""
         now = self._clock.monotonic()
-        for late in self.gate.overdue(now):
+        for late in self._admission.overdue(now):
             self._refuse(late)
-        for job in self.gate.startable(now):
+        for job in self._admission.startable(now):
             fut = self._waiting.get(job)
             if fut is not None and not fut.done():
                 fut.set_result(None)
 
-    def _refuse(self, job: Job) -> None:
+    def _refuse(self, job: AnyJob) -> None:
         fut = self._waiting.pop(job, None)
         if fut is not None and not fut.done():
-            retry_ms = self.gate.retry_after_ms()
+            retry_ms = self._admission.retry_after_ms()
             fut.set_exception(Refused(Code.DEADLINE_BEFORE_RUN, retry_ms))
+
+
+class GateQueue(JobQueue[Job]):
+    """The calls that wait at a :class:`Gate`."""
+
+    def __init__(self, gate: Gate, clock: Clock) -> None:
+        """Starts without calls."""
+        super().__init__(gate, clock)
+        self.gate = gate
+
+    def resize(self, part: Part | None) -> None:
+        """Takes the slots and connections of the configuration in force."""
+        self.gate.slots = part.slots if part else 0
+        self.gate.connections = part.connections if part else 0
+        self.start_ready()
+
+    def drain(self) -> None:
+        """Refuses new calls, and those that still wait, at once."""
+        self.gate.draining = True
+        self.expel(Code.DRAINING)
+
+    def slot(self, priority: str, deadline: float) -> Slot[Job]:
+        """Returns what holds a slot for the body of a ``with`` statement.
+
+        :param deadline: monotonic seconds by which the call must have started
+        """
+        return Slot(self, Job(priority, deadline, self._clock.monotonic()))
--- a/papayalock/node/http.py
+++ b/papayalock/node/http.py
@@ -1,5 +1,6 @@
 """Calls as they arrive at a node, and their answers."""
 
+from http import HTTPStatus
 from typing import Protocol
 
 import msgspec
@@ -8,12 +9,7 @@
 from papayalock.result import Code
 from papayalock.wire import Headers
 
-REASONS = {
-    200: b'OK',
-    400: b'Bad Request',
-    413: b'Payload Too Large',
-    503: b'Service Unavailable',
-}
+REASONS = {one.value: one.phrase.encode() for one in HTTPStatus}
 GATEWAY_TIMEOUT = 504
 NO_BODY = frozenset((204, 304))  # statuses that never have a body
 UNAVAILABLE = 503
@@ -35,6 +31,10 @@
         """Cuts the connection at once."""
         ...
 
+    def stays_open(self) -> bool:
+        """Whether the connection takes further calls after this answer."""
+        ...
+
 
 class Call:
     """One request as it arrived."""
@@ -98,7 +98,8 @@
             lines.append(b'transfer-encoding: chunked')
         elif status not in NO_BODY:
             lines.append(b'content-length: %d' % (length or 0))
-        if not self.keep_alive:
+        if not self.keep_alive or not self._conn.stays_open():
+            self.keep_alive = False
             lines.append(b'connection: close')
         lines.append(b'\r\n')
         return b'\r\n'.join(lines)
--- /dev/null
+++ b/papayalock/node/inbound.py
@@ -0,0 +1,170 @@
+"""The gate in front of the backend server beside this node."""
+
+import logging
+
+import msgspec
+
+from papayalock.core.admission import Job, ServerGate, job_of
+from papayalock.core.heartbeats import BackendWatch
+from papayalock.dialect import BackendTerms, CallDialect
+from papayalock.messages import Announcement, HopOrder
+from papayalock.node.alive import SignsOfLife
+from papayalock.node.gate import JobQueue, Refused, Slot
+from papayalock.node.http import OUTCOME_HEADER, Call, Reply
+from papayalock.node.outcome import SERVER_ERROR, Answered, NoAnswer, Outcome
+from papayalock.node.trip import HOP_BY_HOP, LOAD_HEADER
+from papayalock.pool import Pool
+from papayalock.ports import Clock
+from papayalock.result import Code
+from papayalock.wire import Request, Response, WireError
+
+log = logging.getLogger(__name__)
+
+MS = 1000  # milliseconds in a second
+ORDER_HEADER = b'papayalock-order'
+ARRIVED_HEADER = b'papayalock-arrived'
+ANSWER_BYTES = 16_777_216  # largest answer that is passed on
+UNAVAILABLE = 503
+INTERNAL = frozenset(
+    (ORDER_HEADER, LOAD_HEADER, OUTCOME_HEADER, ARRIVED_HEADER)
+)
+NOT_PASSED_ON = HOP_BY_HOP | INTERNAL
+_ORDER = msgspec.json.Decoder(HopOrder)
+
+
+class Inbound:
+    """Runs calls on the backend server within its slots."""
+
+    def __init__(
+        self,
+        watch: BackendWatch,
+        queue: JobQueue[Job],
+        gate: ServerGate,
+        pool: Pool,
+        dialect: CallDialect,
+        clock: Clock,
+        alive_ms: int,
+    ) -> None:
+        """Binds the parts.
+
+        :param alive_ms: interval of the signs of life to the calling node
+        """
+        self._watch = watch
+        self._queue = queue
+        self._gate = gate
+        self._pool = pool
+        self._dialect = dialect
+        self._clock = clock
+        self._alive_ms = alive_ms
+
+    def refit(self) -> None:
+        """Takes the slots of the server as it announced itself last."""
+        serving = self._watch.serving(self._clock.monotonic())
+        self._gate.slots = serving.slots if serving else 0
+        if serving is None:
+            self._queue.expel(Code.NO_SERVER)
+        else:
+            self._queue.start_ready()
+
+    async def handle(self, call: Call, reply: Reply) -> None:
+        """Answers a call that another node sent here."""
+        try:
+            order = _ORDER.decode(call.header(ORDER_HEADER))
+        except msgspec.MsgspecError as exc:
+            reply.refuse(Code.BAD_REQUEST, f'no order: {exc}')
+            return
+        with SignsOfLife(reply, self._alive_ms):
+            outcome = await self.run(order, call)
+        load = (LOAD_HEADER, msgspec.json.encode(self._gate.load()))
+        if isinstance(outcome, Answered):
+            headers = [*outcome.headers, load, (OUTCOME_HEADER, b'0 DONE')]
+            reply.whole(outcome.status, headers, outcome.body)
+            return
+        code = outcome.code
+        headers = [
+            load,
+            (OUTCOME_HEADER, b'%d %s' % (code.value, code.name.encode())),
+            (ARRIVED_HEADER, b'%d' % outcome.arrived),
+            (b'retry-after', b'%d' % outcome.retry_after_ms),
+        ]
+        reply.whole(UNAVAILABLE, headers, outcome.reason.encode())
+
+    async def run(self, order: HopOrder, call: Call) -> Outcome:
+        """Runs a call on the server beside this node."""
+        now = self._clock.monotonic()
+        serving = self._watch.serving(now)
+        if serving is None:
+            leaving = self._watch.closed(now)
+            code = Code.DRAINING if leaving else Code.NO_SERVER
+            return NoAnswer(code, 'no backend server takes calls here')
+        if serving.server != order.server:
+            return NoAnswer(
+                Code.OTHER_SERVER,
+                f'{serving.server} is here, not {order.server}',
+            )
+        job = job_of(order, now)
+        try:
+            async with Slot(self._queue, job):
+                return await self._send(order, call, serving, job)
+        except Refused as exc:
+            return NoAnswer(exc.code, 'no slot in time', exc.retry_after_ms)
+
+    async def _send(
+        self, order: HopOrder, call: Call, serving: Announcement, job: Job
+    ) -> Outcome:
+        left_ms = int((job.deadline_at - self._clock.monotonic()) * MS)
+        if left_ms <= 0:
+            return NoAnswer(Code.DEADLINE_BEFORE_RUN, 'the deadline has passed')
+        terms = BackendTerms(order.call, serving.server, order.caller, left_ms)
+        kept = [pair for pair in call.headers if pair[0] not in NOT_PASSED_ON]
+        headers = self._dialect.to_backend(kept, terms)
+        req = Request(call.method, call.target, headers, call.body)
+        try:
+            outcome = await self._exchange(req, serving.address, order, left_ms)
+        except WireError as exc:
+            self._gate.judged(failed=True)
+            return NoAnswer(exc.code, str(exc), arrived=exc.sent)
+        self._judge(outcome, job)
+        return outcome
+
+    async def _exchange(
+        self, req: Request, address: str, order: HopOrder, left_ms: int
+    ) -> Outcome:
+        conn = await self._pool.take(address)
+        whole = False
+        try:
+            response = await conn.call(
+                req,
+                left_ms,
+                belongs=lambda headers: self._dialect.belongs(
+                    headers, order.call
+                ),
+            )
+            body = await response.read_all(ANSWER_BYTES)
+            whole = True
+        finally:
+            if whole:
+                self._pool.give(address, conn)
+            else:
+                conn.close()
+        return self._outcome(response, body)
+
+    def _outcome(self, response: Response, body: bytes) -> Outcome:
+        fault = self._dialect.fault(response.status, response.headers)
+        if fault != Code.DONE:
+            if fault == Code.OTHER_SERVER:
+                self._watch.mistaken()
+            return NoAnswer(
+                fault, f'the server answered {response.status}', arrived=True
+            )
+        headers = [
+            pair for pair in response.headers if pair[0] not in NOT_PASSED_ON
+        ]
+        return Answered(response.status, headers, body)
+
+    def _judge(self, outcome: Outcome, job: Job) -> None:
+        if isinstance(outcome, Answered):
+            job.served = outcome.status < SERVER_ERROR
+            self._gate.judged(failed=outcome.failed)
+        else:
+            self._gate.judged(failed=True)
--- a/papayalock/node/listener.py
+++ b/papayalock/node/listener.py
@@ -1,7 +1,8 @@
-"""The listening side of a node: HTTP/1.1 calls, one at a time a connection."""
+"""The listening side of a node: HTTP/1.1 calls, answered in order."""
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 import httptools
@@ -19,12 +20,29 @@
 class ServerLimits:
     """Bounds on what one node takes in."""
 
-    __slots__ = ('body_bytes', 'connections', 'header_bytes')
+    __slots__ = (
+        'body_bytes',
+        'connections',
+        'header_bytes',
+        'header_s',
+        'idle_s',
+        'pipelined',
+    )
 
     def __init__(
-        self, header_bytes: int, body_bytes: int, connections: int
+        self,
+        header_bytes: int,
+        body_bytes: int,
+        connections: int,
+        pipelined: int = 1,
     ) -> None:
-        """Keeps the bounds; sizes in bytes."""
+        """Keeps the bounds; sizes in bytes.
+
+        :param pipelined: calls of one connection under way at once
+        """
+        self.pipelined = pipelined
+        self.header_s = float('inf')
+        self.idle_s = float('inf')
         self.header_bytes = header_bytes
         self.body_bytes = body_bytes
         self.connections = connections
@@ -44,6 +62,11 @@
         """Returns the protocol of one accepted connection."""
         return ServerConn(self)
 
+    def sweep(self, now: float) -> None:
+        """Closes connections that are idle, or slow to send a head, for too long."""
+        for conn in list(self.conns):
+            conn.sweep(now)
+
     async def stop(self, timeout: float) -> bool:
         """Lets calls in flight end, then closes every connection.
 
@@ -53,9 +76,9 @@
         self.stopping = True
         loop = asyncio.get_running_loop()
         until = loop.time() + timeout
-        for conn in list(self.conns):
-            conn.close_if_idle()
         while self.conns and loop.time() < until:
+            for conn in list(self.conns):
+                conn.close_if_idle()
             await asyncio.sleep(STOP_POLL_S)
         clean = not self.conns
         for conn in list(self.conns):
@@ -63,6 +86,56 @@
         return clean
 
 
+class Turn:
+    """The place of one answer in the order of a connection's answers.
+
+    What is written before the turn has come is held back.
+    """
+
+    __slots__ = ('_begun', '_conn', '_held', 'closes', 'ended', 'task')
+
+    def __init__(self, conn: 'ServerConn') -> None:
+        """Waits for its turn."""
+        self.task: asyncio.Task[None] | None = None
+        self.ended = False
+        self.closes = False
+        self._conn = conn
+        self._begun = False
+        self._held: list[bytes] = []
+
+    def begin(self) -> None:
+        """Lets out what was held back, and all that follows at once."""
+        self._begun = True
+        if self._held:
+            self._conn.write(b''.join(self._held))
+            self._held = []
+
+    def cancel(self) -> None:
+        """Cancels the call, since nobody waits for its answer."""
+        if self.task is not None:
+            self.task.cancel()
+
+    def write(self, data: bytes) -> None:
+        """Writes, or holds back until the turn comes."""
+        if self._begun:
+            self._conn.write(data)
+        else:
+            self._held.append(data)
+
+    async def drained(self) -> None:
+        """Waits until the caller has read enough."""
+        if self._begun:
+            await self._conn.drained()
+
+    def abort(self) -> None:
+        """Cuts the connection at once."""
+        self._conn.abort()
+
+    def stays_open(self) -> bool:
+        """Whether the connection takes further calls after this answer."""
+        return not self._conn.is_last(self)
+
+
 class ServerConn(asyncio.Protocol):
     """One connection of a caller."""
 
@@ -75,8 +148,10 @@
         self._head_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._ready: list[Call] = []
-        self._task: asyncio.Task[None] | None = None
+        self._turns: deque[Turn] = deque()
+        self._paused = False
+        self._last = False
+        self._since = 0.0
         self._writable = asyncio.Event()
         self._writable.set()
         self._refused = False
@@ -99,28 +174,42 @@
 
     def close_if_idle(self) -> None:
         """Closes the connection when no call is under way."""
-        busy = self._task is not None or self._ready or self._head_bytes
+        busy = self._turns or self._head_bytes
         if not busy and self._transport is not None:
             self._transport.close()
 
+    def sweep(self, now: float) -> None:
+        """Ends a connection that has been idle, or amid a head, for too long."""
+        limits = self._server.limits
+        if self._turns:
+            return
+        if self._head_bytes and now - self._since >= limits.header_s:
+            self._refuse(Code.BAD_REQUEST, 'the head took too long')
+        elif now - self._since >= limits.idle_s:
+            self.close_if_idle()
+
+    def is_last(self, turn: 'Turn') -> bool:
+        """Whether no call comes after a turn and none may come any more."""
+        if self._server.stopping and self._turns and self._turns[-1] is turn:
+            self._last = True
+        return self._last
+
     # Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes the connection in, or refuses it when there are too many."""
         self._transport = transport  # type: ignore[assignment]
         self._server.conns.add(self)
-        if (
-            len(self._server.conns) > self._server.limits.connections
-            or self._server.stopping
-        ):
+        self._since = asyncio.get_running_loop().time()
+        if len(self._server.conns) > self._server.limits.connections:
             self._refuse(Code.SHED, 'too many connections')
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the call under way, since nobody waits for it."""
         self._server.conns.discard(self)
         self._writable.set()
-        if self._task is not None:
-            self._task.cancel()
+        for turn in self._turns:
+            turn.cancel()
 
     def pause_writing(self) -> None:
         """Makes writers wait."""
@@ -132,7 +221,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser."""
-        if self._refused:
+        if self._refused or self._last:
             return
         try:
             self._parser.feed_data(data)
@@ -150,6 +239,7 @@
         """Starts a call."""
         self._call = Call()
         self._head_bytes = 1
+        self._since = asyncio.get_running_loop().time()
         self._body = []
         self._body_bytes = 0
 
@@ -193,11 +283,11 @@
         self._call.body = b''.join(self._body)
         self._body = []
         self._head_bytes = 0
-        self._ready.append(self._call)
-        if self._task is None:
-            self._start()
-        elif self._transport is not None:
-            self._transport.pause_reading()
+        if self._last:
+            return
+        self._start(self._call)
+        if len(self._turns) >= self._server.limits.pipelined:
+            self._pause()
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
@@ -208,40 +298,60 @@
         ):
             self._refuse(Code.TOO_LARGE, 'head is too large')
 
-    def _start(self) -> None:
-        call = self._ready.pop(0)
-        keep_alive = call.keep_alive and not self._server.stopping
-        reply = Reply(self, keep_alive)
-        self._task = asyncio.create_task(self._serve(call, reply))
+    def _pause(self) -> None:
+        if self._transport is not None and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
 
-    async def _serve(self, call: Call, reply: Reply) -> None:
+    def _start(self, call: Call) -> None:
+        turn = Turn(self)
+        self._turns.append(turn)
+        if len(self._turns) == 1:
+            turn.begin()
+        reply = Reply(turn, call.keep_alive)
+        turn.task = asyncio.create_task(self._serve(call, reply, turn))
+
+    async def _serve(self, call: Call, reply: Reply, turn: 'Turn') -> None:
         try:
             await self._server.handler(call, reply)
         except Exception:
             log.exception('call failed', extra={'code': Code.UNKNOWN_BROKEN})
             reply.abort()
-        self._task = None
-        self._after(reply)
+        turn.ended = True
+        turn.closes = not reply.keep_alive
+        self._advance()
 
-    def _after(self, reply: Reply) -> None:
+    def _advance(self) -> None:
+        """Lets the answers out in the order of their calls."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        if not reply.keep_alive or self._server.stopping:
-            transport.close()
-        elif self._ready:
-            self._start()
-        else:
+        while self._turns and self._turns[0].ended:
+            turn = self._turns.popleft()
+            self._since = asyncio.get_running_loop().time()
+            if turn.closes:
+                transport.close()
+                return
+            if self._turns:
+                self._turns[0].begin()
+        if self._paused and len(self._turns) < self._server.limits.pipelined:
+            self._paused = False
             transport.resume_reading()
+        if self._server.stopping and not self._turns and self._last:
+            transport.close()
 
     def _refuse(self, code: Code, message: str) -> None:
         if self._refused:
             return
         self._refused = True
-        if self._task is None:
-            Reply(self, keep_alive=False).refuse(code, message)
-        if self._transport is not None:
-            self._transport.close()
+        turn = Turn(self)
+        turn.closes = True
+        Reply(turn, keep_alive=False).refuse(code, message)
+        turn.ended = True
+        self._turns.append(turn)
+        if len(self._turns) == 1:
+            turn.begin()
+        self._advance()
 
 
 def head_fault(call: Call) -> str:
--- /dev/null
+++ b/papayalock/node/outcome.py
@@ -0,0 +1,36 @@
+"""How a try of a host-routed call ends."""
+
+from dataclasses import dataclass
+
+from papayalock.result import Code
+from papayalock.wire import Headers
+
+SERVER_ERROR = 500
+GATEWAY_TIMEOUT = 504
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """The whole answer of a backend server."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    @property
+    def failed(self) -> bool:
+        """Whether the server failed, other than by running out of time."""
+        return self.status >= SERVER_ERROR and self.status != GATEWAY_TIMEOUT
+
+
+@dataclass(slots=True, frozen=True)
+class NoAnswer:
+    """A try without an answer that may be passed on."""
+
+    code: Code
+    reason: str
+    retry_after_ms: int = 0
+    arrived: bool = False  # whether a backend server saw the call
+
+
+Outcome = Answered | NoAnswer
--- a/papayalock/result.py
+++ b/papayalock/result.py
@@ -21,6 +21,8 @@
     KEY_REUSED = 110
     STALE_ATTEMPT = 111
     NOT_CONNECTED = 112
+    NOT_CONFIGURED = 113
+    OTHER_SERVER = 114
     # The request may have run.
     UNKNOWN_TIMEOUT = 200
     UNKNOWN_BROKEN = 201
@@ -28,6 +30,7 @@
     STILL_RUNNING = 203
     INCOMPLETE_ANSWER = 204
     ANSWER_NOT_KEPT = 205
+    FOREIGN_ANSWER = 206
     # Control.
     CONFLICT = 300
     INVALID = 301
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -35,6 +35,18 @@
         Meta(description="Control VMs of the node's own availability zone."),
     ]
     join: bool
+    found: Annotated[
+        bool,
+        Meta(description='Whether the addresses form the first set of control VMs.'),
+    ]
+    auto_members: Annotated[
+        bool,
+        Meta(
+            description='Whether control VMs join and are replaced without an operator.'
+        ),
+    ]
+    voters: Annotated[int, Meta(ge=1, le=9)]
+    silent_ms: Annotated[int, Meta(ge=100, le=600000)]
 
 
 class GroupSettings(Struct):
@@ -60,6 +72,11 @@
     history: Annotated[int, Meta(ge=1, le=100000)]
     snapshots_per_s: Annotated[int, Meta(ge=1, le=100000)]
     retry_after_ms: Annotated[int, Meta(ge=10, le=60000)]
+    follow: Annotated[
+        Literal['zone', 'any'],
+        Meta(description='Control VMs that a node takes versions from.'),
+    ]
+    margin_ms: Annotated[int, Meta(ge=10, le=60000)]
 
 
 class MembershipSettings(Struct):
@@ -115,6 +132,9 @@
     budget_percent: Annotated[int, Meta(ge=0, le=100)]
     budget_floor: Annotated[int, Meta(ge=0, le=1000)]
     backoff_ms: Annotated[int, Meta(ge=0, le=60000)]
+    window_ms: Annotated[int, Meta(ge=100, le=600000)]
+    window_percent: Annotated[int, Meta(ge=0, le=100)]
+    window_floor: Annotated[int, Meta(ge=0, le=1000000)]
 
 
 class ClaimSettings(Struct):
@@ -122,7 +142,7 @@
     Requests that may not be repeated.
     """
 
-    shards: Annotated[int, Meta(ge=1, le=64)]
+    shards: Annotated[int, Meta(ge=0, le=64)]
     retention_ms: Annotated[int, Meta(ge=1000, le=2592000000)]
     answer_bytes: Annotated[int, Meta(ge=0, le=1048576)]
     timeout_ms: Annotated[int, Meta(ge=10, le=60000)]
@@ -146,6 +166,42 @@
     level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR']
 
 
+class HostSettings(Struct):
+    """
+    Calls routed by host and path.
+    """
+
+    outbound: Annotated[
+        str,
+        Meta(
+            description='IP and port for callers on this VM; empty turns host routing off.',
+            pattern='^([0-9.]+:[0-9]+)?$',
+        ),
+    ]
+    ready: Annotated[str, Meta(pattern='^([0-9.]+:[0-9]+)?$')]
+    ready_path: str
+    announce: Annotated[str, Meta(pattern='^([0-9.]+:[0-9]+)?$')]
+    backend: Annotated[str, Meta(pattern='^([0-9.]+:[0-9]+)?$')]
+    service: str
+    drain_ms: Annotated[int, Meta(ge=0, le=600000)]
+    apply_ms: Annotated[int, Meta(ge=0, le=600000)]
+    grace_ms: Annotated[int, Meta(ge=0, le=600000)]
+    pipelined: Annotated[int, Meta(ge=1, le=1024)]
+    alive_ms: Annotated[int, Meta(ge=10, le=60000)]
+    silence_ms: Annotated[int, Meta(ge=20, le=600000)]
+    connect_ms: Annotated[int, Meta(ge=10, le=60000)]
+    candidates: Annotated[int, Meta(ge=1, le=64)]
+
+
+class MetricsSettings(Struct):
+    """
+    Metrics.
+    """
+
+    port: Annotated[int, Meta(ge=0, le=65535)]
+    path: str
+
+
 class Settings(Struct):
     """
     All settings of one daemon.
@@ -175,3 +231,5 @@
     claims: ClaimSettings
     audit: AuditSettings
     log: LogSettings
+    hosts: HostSettings
+    metrics: MetricsSettings
--- a/papayalock/wire.py
+++ b/papayalock/wire.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import httptools
@@ -21,6 +22,7 @@
 CONTINUE = 100
 FIRST_FINAL_STATUS = 200
 Headers = list[tuple[bytes, bytes]]
+Belongs = Callable[[Headers], bool]
 
 
 class WireError(Exception):
@@ -78,6 +80,11 @@
         """Returns the body if all of it has arrived, else None."""
         return self._conn.take_whole()
 
+    @property
+    def chunked(self) -> bool:
+        """Whether the body comes in chunks, of which the last is marked."""
+        return b'chunked' in self.header(b'transfer-encoding').lower()
+
     async def read(self) -> bytes:
         """Returns the next piece of the body; b'' at its proven end.
 
@@ -133,6 +140,8 @@
         self._sent = False
         self._paused = False
         self._head_only = False
+        self._belongs: Belongs | None = None
+        self._foreign = False
         self._seen = 0
         self._timeout = 0.0
         self._parser = httptools.HttpResponseParser(self)
@@ -145,15 +154,23 @@
     # Calls.
 
     async def call(
-        self, req: Request, timeout_ms: int, *, expect: bool = False
+        self,
+        req: Request,
+        timeout_ms: int,
+        *,
+        expect: bool = False,
+        belongs: Belongs | None = None,
     ) -> Response:
         """Sends a request and returns the head of its answer.
 
         :param timeout_ms: longest wait without progress
         :param expect: holds the body back until the far end asks for it
+        :param belongs: tells by its headers whether an answer belongs to
+            this request; one that does not is passed over
         :raises WireError: when there is no answer
         """
         self._begin(timeout_ms)
+        self._belongs = belongs
         self._head_only = req.method == b'HEAD'
         if expect and req.body:
             await self._send_expecting(req)
@@ -228,6 +245,7 @@
         self._response = None
         self._continued = False
         self._sent = False
+        self._foreign = False
         self._headers = []
         self._head_bytes = 0
         self.used = True
@@ -305,6 +323,16 @@
                 code = Code.INCOMPLETE_ANSWER
             self._fail(code, 'connection was lost')
 
+    def eof_received(self) -> None:
+        """Ends an answer that has no length of its own."""
+        response = self._response
+        if response is None or self._complete:
+            return
+        if response.length is None and not response.chunked:
+            response.keep_alive = False
+            self._complete = True
+            self._wake()
+
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; bytes outside a call are an error."""
         self.progress += 1
@@ -343,6 +371,9 @@
         if status < FIRST_FINAL_STATUS:
             self._continued = self._continued or status == CONTINUE
             return
+        if self._belongs is not None and not self._belongs(self._headers):
+            self._foreign = True
+            return
         response = Response(self, status, self._headers)
         response.keep_alive = self._parser.should_keep_alive()
         self._response = response
@@ -352,6 +383,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffers a piece and pauses reading when the caller is slow."""
+        if self._foreign:
+            return
         self._pieces.append(body)
         self._buffered += len(body)
         if (
@@ -364,6 +397,9 @@
 
     def on_message_complete(self) -> None:
         """Marks the answer as whole."""
-        if self._response is not None:
+        if self._foreign:
+            self._foreign = False
+            self._head_bytes = 0
+        elif self._response is not None:
             self._complete = True
             self.idle_since = asyncio.get_running_loop().time()
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -95,6 +95,9 @@
     def abort(self) -> None:
         self.aborted = True
 
+    def stays_open(self) -> bool:
+        return True
+
 
 class Bench:
     """A dispatcher with a scripted far end."""
