Replicate route sets as differences; ask for a free slot before a place in a queue

A refusal of a first try hid a second one that may have run: REFUSED. An extra answer without an id was taken for the next call's: MIXED. Bytes between zones were the largest price after machines.

--- a/papayalock/commands.py
+++ b/papayalock/commands.py
@@ -7,13 +7,16 @@
     Finish,
     Noop,
     Publish,
+    Revise,
     SetExistence,
     SetMember,
     Submit,
 )
 from papayalock.result import Code, PapayalockError
 
-Command = Claim | Finish | Noop | Publish | SetExistence | SetMember | Submit
+Command = (
+    Claim | Finish | Noop | Publish | Revise | SetExistence | SetMember | Submit
+)
 
 
 class _Kind(msgspec.Struct):
@@ -27,6 +30,7 @@
     'member': SetMember,
     'noop': Noop,
     'publish': Publish,
+    'revise': Revise,
     'submit': Submit,
 }
 _KIND_DECODER = msgspec.json.Decoder(_Kind)
--- a/papayalock/control/control.py
+++ b/papayalock/control/control.py
@@ -22,6 +22,7 @@
     Publish,
     PublishRes,
     ReadIndex,
+    Revise,
     RouteSet,
     SetExistence,
     SetMember,
@@ -169,7 +170,7 @@
         return msgspec.convert(answer, SubmitRes)
 
     async def publish(
-        self, command: Publish, *, forwarded: bool = False
+        self, command: Publish | Revise, *, forwarded: bool = False
     ) -> PublishRes:
         """Commits a route set, wherever the leader is.
 
@@ -177,7 +178,7 @@
             been accepted, so the sender repeats it unchanged
         """
         answer = await self._commit(
-            CONFIG_GROUP, command, '/v1/publish', forwarded=forwarded
+            CONFIG_GROUP, command, f'/v1/{command.kind}', forwarded=forwarded
         )
         return msgspec.convert(answer, PublishRes)
 
--- a/papayalock/control/group.py
+++ b/papayalock/control/group.py
@@ -86,12 +86,14 @@
     async def propose(self, command: Command) -> Any:
         """Commits a command and returns the machine's answer.
 
-        :raises PapayalockError: ``NO_LEADER`` when this replica does not lead
-            or stopped leading, in which case the command may still commit;
+        :raises PapayalockError: ``BAD_MESSAGE`` when the command is not one
+            that every replica can read; ``NO_LEADER`` when this replica does
+            not lead or stopped leading, in which case the command may still commit;
             ``DISK_FULL`` when the disk takes no more
         """
         if self.disk_full:
             raise PapayalockError(Code.DISK_FULL, 'the disk takes no more')
+        decode_command(encode_command(command))
         fut = asyncio.get_running_loop().create_future()
         self._inbox.put_nowait(Proposal(command, fut))
         return await fut
--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -59,6 +59,7 @@
         :raises StorageError: when the data folder is damaged
         """
         self._settings = settings
+        self._serving: uvicorn.Server | None = None
         self._clock = SystemClock()
         self._rng = random.Random()
         self._disk = FileDisk(Path(settings.data))
@@ -133,7 +134,7 @@
             tasks.append(asyncio.create_task(self.members.run()))
         tasks.append(asyncio.create_task(self.journal.run()))
         for task in tasks:
-            task.add_done_callback(_report_end)
+            task.add_done_callback(self._on_end)
         host, _, port = self._settings.listen.rpartition(':')
         cfg = uvicorn.Config(
             self.server.app,
@@ -146,7 +147,8 @@
             ws='none',
             http='httptools',
         )
-        await uvicorn.Server(cfg).serve()
+        self._serving = uvicorn.Server(cfg)
+        await self._serving.serve()
         for task in tasks:
             task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
@@ -155,6 +157,14 @@
         self.pool.close()
         self.journal.flush()
 
+    def _on_end(self, task: 'asyncio.Task[None]') -> None:
+        """Stops the process when one of its tasks has failed."""
+        if task.cancelled() or task.exception() is None:
+            return
+        log.critical('task ended', exc_info=task.exception())
+        if self._serving is not None:
+            self._serving.should_exit = True
+
     def _group(self, name: str, machine: Machine) -> Group:
         cfg = self._settings.group
         storage = GroupStorage(self._disk, name)
@@ -247,11 +257,6 @@
         )
 
 
-def _report_end(task: 'asyncio.Task[None]') -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log.critical('task ended', exc_info=task.exception())
-
-
 async def run_control(settings: Settings, operator: OperatorDialect) -> None:
     """Runs a control VM until it is stopped."""
     await ControlVm(settings, operator).run()
--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -13,6 +13,7 @@
 from papayalock.control.control import CONFIG_GROUP, Control
 from papayalock.control.members import Members
 from papayalock.control.status import StatusReader
+from papayalock.core.routebook import checked_types
 from papayalock.dialect import OperatorDialect
 from papayalock.messages import (
     Claim,
@@ -23,6 +24,7 @@
     Publish,
     PublishRes,
     ReadIndex,
+    Revise,
     SetMember,
     Submit,
     SyncReq,
@@ -122,6 +124,7 @@
             '/v1/claim': self._claim,
             '/v1/finish': self._finish,
             '/v1/publish': self._publish,
+            '/v1/revise': self._revise,
             '/v1/read-index': self._read_index,
             '/v1/join': self._join,
         }
@@ -206,6 +209,14 @@
             )
         )
 
+    async def _revise(self, request: Request) -> Response:
+        command = await self._decode(request, msgspec.json.Decoder(Revise))
+        return json_response(
+            await self._control.publish(
+                command, forwarded=_is_forwarded(request)
+            )
+        )
+
     async def _read_index(self, request: Request) -> Response:
         index = await self._control.read_index(forwarded=_is_forwarded(request))
         return json_response(ReadIndex(index=index))
@@ -238,9 +249,12 @@
         return json_response(res, self._operator.published(res))
 
     async def _publish_routes(self, body: bytes) -> PublishRes:
-        return await self._control.publish(
-            Publish(route_set=self._operator.read(body))
-        )
+        routes = checked_types(self._operator.read(body))
+        book = self._control.ledger.book
+        settled = book.settled(routes)
+        if settled is not None:
+            return settled
+        return await self._control.publish(book.command(routes))
 
     async def _routes(self, request: Request) -> Response:
         try:
--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -32,6 +32,7 @@
     target_at: float
     deadline_at: float
     returning: bool = False
+    may_wait: bool = True
     started: float = 0.0
     number: int = 0
     served: bool = False
@@ -46,6 +47,7 @@
         target_at=now + order.target_ms / MS,
         deadline_at=now + order.remaining_ms / MS,
         returning=order.returning,
+        may_wait=order.may_wait,
     )
 
 
@@ -111,10 +113,9 @@
         if len(self.running) < self.slots and not self._waiting:
             self._start(job, now)
             return Started()
-        wait = self.expected_wait(job)
-        if len(self._waiting) >= MOST_WAITING or not self._in_time(
-            job, now, wait
-        ):
+        if not job.may_wait or len(self._waiting) >= MOST_WAITING:
+            return Shed(Code.SHED, self.retry_after_ms())
+        if not self._in_time(job, now, self.expected_wait(job)):
             return Shed(Code.SHED, self.retry_after_ms())
         self._waiting.append(job)
         return Queued()
--- a/papayalock/core/again.py
+++ b/papayalock/core/again.py
@@ -11,6 +11,7 @@
     """What a node does next with a call."""
 
     ASK_ANOTHER = 'ask another'
+    WAIT = 'wait'
     REPEAT = 'repeat'
     GIVE_UP = 'give up'
 
@@ -36,6 +37,7 @@
     deadline_at: float
     asked: int = 0  # nodes that refused before their server saw the call
     runs: int = 0  # servers that may have run the call
+    waited: bool = False  # whether a node was asked to let the call wait
 
 
 def next_step(
@@ -60,11 +62,19 @@
     if now >= course.deadline_at:
         return Step.GIVE_UP
     if code.not_run and not arrived:
-        free = code in REFUSED_FREELY and course.asked < course.most_asked
-        return Step.ASK_ANOTHER if free else Step.GIVE_UP
+        return _after_refusal(course, code)
     if not code.not_run and not course.repeatable:
         return Step.GIVE_UP
     worth_it = now + pace_s / 2 < course.deadline_at
     if course.runs >= course.most_runs or not worth_it:
         return Step.GIVE_UP
     return Step.REPEAT if budget.take(now, nodes) else Step.GIVE_UP
+
+
+def _after_refusal(course: Course, code: Code) -> Step:
+    """Asks for a free slot first, and only then for a place in a queue."""
+    if code not in REFUSED_FREELY or course.waited:
+        return Step.GIVE_UP
+    if course.asked < course.most_asked:
+        return Step.ASK_ANOTHER
+    return Step.WAIT
--- a/papayalock/core/leading.py
+++ b/papayalock/core/leading.py
@@ -10,6 +10,9 @@
 from papayalock.messages import PeerMessage
 
 
+APPEND_CHARACTERS = 1_048_576  # payload of one message
+
+
 class Leading(ReplicaState):
     """What a replica does while it leads its group."""
 
@@ -39,8 +42,8 @@
         if log_term is None:
             self._send_snapshot(name, now)
             return
-        entries = self.log.between(
-            progress.next, self.log.last_index, self.cfg.append_entries
+        entries = self.log.batch(
+            progress.next, self.cfg.append_entries, APPEND_CHARACTERS
         )
         lease_ms = self._grant(name, now)
         progress.sent_at[self._round] = now
--- a/papayalock/core/ledger.py
+++ b/papayalock/core/ledger.py
@@ -23,6 +23,7 @@
     Publish,
     PublishRes,
     Register,
+    Revise,
     Rules,
     SetExistence,
     SetMember,
@@ -101,7 +102,7 @@
         """Applies one committed command and returns its answer, if it has one."""
         if isinstance(command, Submit):
             return self._submit(index, command)
-        if isinstance(command, Publish):
+        if isinstance(command, Publish | Revise):
             return self._publish(index, command)
         if isinstance(command, SetExistence):
             self._set_existence(index, command)
@@ -210,8 +211,11 @@
         if self.inventory is not None:
             self._add_version(index, command.at_ms, '', 'existence', touched)
 
-    def _publish(self, index: int, command: Publish) -> PublishRes:
-        answer, fresh = self.book.publish(command.route_set)
+    def _publish(self, index: int, command: Publish | Revise) -> PublishRes:
+        if isinstance(command, Revise):
+            answer, fresh = self.book.revise(command)
+        else:
+            answer, fresh = self.book.publish(command.route_set)
         if fresh:
             manifest = {
                 name: digest
--- a/papayalock/core/raftlog.py
+++ b/papayalock/core/raftlog.py
@@ -113,6 +113,20 @@
         end = min(stop + 1, start + limit)
         return self._entries[start - offset : max(end - offset, 0)]
 
+    def batch(self, start: int, limit: int, size: int) -> list[Entry]:
+        """Returns the entries from ``start`` that fit into one message.
+
+        :param limit: most entries
+        :param size: most characters of payload, unless the first has more
+        """
+        chosen: list[Entry] = []
+        for entry in self.between(start, self.last_index, limit):
+            size -= len(entry.payload)
+            if chosen and size < 0:
+                break
+            chosen.append(entry)
+        return chosen
+
     def compact(self, snapshot: Snapshot) -> None:
         """Replaces all entries up to the snapshot's index by the snapshot."""
         if self.term_at(snapshot.index) == snapshot.term:
--- /dev/null
+++ b/papayalock/core/revision.py
@@ -0,0 +1,42 @@
+"""Publications as differences, so that the log carries only what changed."""
+
+from papayalock.core.textedit import edited_text, text_edits
+from papayalock.messages import Revise, RouteSet
+
+
+def revision_of(current: RouteSet, fresh: RouteSet, digest: str) -> Revise:
+    """Returns the difference of a route set from the one it builds on."""
+    known = {route.name: route for route in current.routes}
+    order = [route.name for route in fresh.routes]
+    same_order = order == [route.name for route in current.routes]
+    return Revise(
+        label=fresh.label,
+        base=fresh.base,
+        digest=digest,
+        changed=[
+            route for route in fresh.routes if known.get(route.name) != route
+        ],
+        order=[] if same_order else order,
+        services=None if fresh.services == current.services else fresh.services,
+        limits=None if fresh.limits == current.limits else fresh.limits,
+        edits=text_edits(current.source, fresh.source),
+    )
+
+
+def revised(current: RouteSet, revision: Revise) -> RouteSet:
+    """Returns the route set that a revision makes.
+
+    :raises KeyError: when the revision was not made from ``current``
+    """
+    routes = {route.name: route for route in current.routes}
+    order = revision.order or list(routes)
+    routes.update((route.name, route) for route in revision.changed)
+    services = revision.services
+    return RouteSet(
+        label=revision.label,
+        base=revision.base,
+        routes=[routes[name] for name in order],
+        services=current.services if services is None else services,
+        limits=revision.limits or current.limits,
+        source=edited_text(current.source, revision.edits),
+    )
--- a/papayalock/core/routebook.py
+++ b/papayalock/core/routebook.py
@@ -6,8 +6,17 @@
 import msgspec
 
 from papayalock.core.problems import Problems
-from papayalock.messages import HostRoute, Part, Problem, PublishRes, RouteSet
-from papayalock.result import Code
+from papayalock.core.revision import revised, revision_of
+from papayalock.messages import (
+    HostRoute,
+    Part,
+    Problem,
+    Publish,
+    PublishRes,
+    Revise,
+    RouteSet,
+)
+from papayalock.result import Code, PapayalockError
 
 DIGEST_BYTES = 16
 ACCEPTED_KEPT = 20_000  # digests of accepted sets that a resend may match
@@ -58,13 +67,57 @@
             self.state.accepted.pop(next(iter(self.state.accepted)))
         return PublishRes(code=Code.DONE, label=routes.label), True
 
+    def settled(self, routes: RouteSet) -> PublishRes | None:
+        """Returns the answer to a set that does not need the log, or None.
+
+        What this book accepted stays accepted, and a set that builds on an
+        older label than the book's lost its race for good.
+        """
+        known = self.state.accepted.get(route_set_digest(routes))
+        if known is not None:
+            return PublishRes(code=Code.DONE, label=known)
+        faults = check_route_set(routes)
+        if faults:
+            return self._invalid(faults)
+        if routes.base < self.label:
+            return self._refusal(routes)
+        return None
+
+    def command(self, routes: RouteSet) -> Publish | Revise:
+        """Returns the command that publishes a set with the least to send."""
+        current = self.state.current
+        if current is None or current.label != routes.base:
+            return Publish(route_set=routes)
+        if routes.limits is None and current.limits is not None:
+            return Publish(route_set=routes)
+        return revision_of(current, routes, route_set_digest(routes))
+
+    def revise(self, revision: Revise) -> tuple[PublishRes, bool]:
+        """Accepts a set that was sent as a difference; see :meth:`publish`."""
+        known = self.state.accepted.get(revision.digest)
+        if known is not None:
+            return PublishRes(code=Code.DONE, label=known), False
+        current = self.state.current
+        if current is None or current.label != revision.base:
+            return self._conflict(revision.base), False
+        try:
+            routes = revised(current, revision)
+        except KeyError:
+            return self._conflict(revision.base), False
+        if route_set_digest(routes) != revision.digest:
+            return self._conflict(revision.base), False
+        return self.publish(routes)
+
+    def _conflict(self, base: int) -> PublishRes:
+        return PublishRes(
+            code=Code.CONFLICT,
+            label=self.label,
+            message=f'made from {base}, in force is {self.label}',
+        )
+
     def _refusal(self, routes: RouteSet) -> PublishRes | None:
         if routes.base != self.label:
-            return PublishRes(
-                code=Code.CONFLICT,
-                label=self.label,
-                message=f'made from {routes.base}, in force is {self.label}',
-            )
+            return self._conflict(routes.base)
         faults = check_route_set(routes)
         if routes.label <= self.label:
             faults.append(
@@ -74,8 +127,9 @@
                     message=f'{routes.label} is not above {self.label}',
                 )
             )
-        if not faults:
-            return None
+        return self._invalid(faults) if faults else None
+
+    def _invalid(self, faults: list[Problem]) -> PublishRes:
         return PublishRes(
             code=Code.INVALID,
             label=self.label,
@@ -113,6 +167,17 @@
     return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).hexdigest()
 
 
+def checked_types(routes: RouteSet) -> RouteSet:
+    """Returns a route set whose every field is within its bounds.
+
+    :raises PapayalockError: ``INVALID``, naming the field
+    """
+    try:
+        return msgspec.convert(msgspec.to_builtins(routes), RouteSet)
+    except msgspec.ValidationError as exc:
+        raise PapayalockError(Code.INVALID, str(exc)) from exc
+
+
 def check_route_set(routes: RouteSet) -> list[Problem]:
     """Returns every error in the meaning of a route set; empty when sound."""
     problems = Problems()
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -194,6 +194,39 @@
     at_ms: int = 0
 
 
+class TextEdit(Struct):
+    """
+    Replaces some pieces of a text.
+    """
+
+    start: Annotated[int, Meta(ge=0)]
+    stop: Annotated[int, Meta(ge=0)]
+    pieces: list[str]
+
+
+class Revise(Struct):
+    """
+    Publishes a route set as its difference from the one it builds on.
+    """
+
+    label: Annotated[int, Meta(ge=1)]
+    base: Annotated[int, Meta(ge=0)]
+    digest: Annotated[str, Meta(description='Digest of the whole set.')]
+    kind: Literal['revise'] = 'revise'
+    changed: list[HostRoute] = field(default_factory=list)
+    order: Annotated[
+        list[str],
+        Meta(description='Names of all routes when their order or number changed.'),
+    ] = field(default_factory=list)
+    services: list[ServicePolicy] | None = None
+    limits: CallerLimits | None = None
+    edits: Annotated[
+        list[TextEdit], Meta(description='Changes to the source text, in pieces.')
+    ] = field(default_factory=list)
+    operator: Annotated[str, Meta(max_length=128)] = ''
+    at_ms: int = 0
+
+
 class PublishRes(Struct):
     """
     Answer to a publication.
@@ -250,6 +283,12 @@
     returning: Annotated[
         bool, Meta(description='Whether the caller was refused before.')
     ] = False
+    may_wait: Annotated[
+        bool,
+        Meta(
+            description='Whether the call may wait for a slot; otherwise it is refused unless one is free.'
+        ),
+    ] = True
 
 
 class ServerLoad(Struct):
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -21,7 +21,12 @@
     ORDER_HEADER,
     Inbound,
 )
-from papayalock.node.outcome import Answered, NoAnswer, Outcome
+from papayalock.node.outcome import (
+    Answered,
+    NoAnswer,
+    Outcome,
+    final_outcome,
+)
 from papayalock.node.trip import LOAD_HEADER
 from papayalock.pool import Pool
 from papayalock.ports import Clock
@@ -168,22 +173,34 @@
     ) -> Outcome:
         tried: frozenset[str] = frozenset()
         kept: Outcome | None = None
-        while True:
-            now = self._clock.monotonic()
-            peer = self._placement.choose(plan.service, now, tried)
+        step = Step.ASK_ANOTHER
+        while step is not Step.GIVE_UP:
+            peer = self._choose(plan, course, tried)
             if peer is None:
-                return kept or NoAnswer(
-                    Code.NO_SERVER,
-                    f'no backend server of {plan.service}',
-                    NOT_READY_RETRY_MS,
-                )
+                break
             tried = tried | {peer.endpoint.server}
-            outcome = await self._try(plan, peer)
-            if kept is None or isinstance(outcome, Answered):
-                kept = outcome
+            outcome = await self._try(plan, peer, may_wait=course.waited)
+            kept = final_outcome(kept, outcome)
             step = self._step(plan, course, budget, outcome)
-            if step is Step.GIVE_UP:
-                return outcome if isinstance(outcome, Answered) else kept
+        return kept or NoAnswer(
+            Code.NO_SERVER,
+            f'no backend server of {plan.service}',
+            NOT_READY_RETRY_MS,
+        )
+
+    def _choose(
+        self, plan: Plan, course: Course, tried: frozenset[str]
+    ) -> Peer | None:
+        """Returns the server to ask; when none is left, one to wait for."""
+        now = self._clock.monotonic()
+        if not course.waited:
+            peer = self._placement.choose(plan.service, now, tried)
+            if peer is not None:
+                return peer
+        if course.runs:
+            return self._placement.choose(plan.service, now, tried)
+        course.waited = True
+        return self._placement.choose(plan.service, now)
 
     def _step(
         self,
@@ -203,7 +220,7 @@
             arrived = outcome.arrived
             course.runs += not code.not_run
             course.asked += code.not_run and not arrived
-        return next_step(
+        step = next_step(
             course,
             code,
             arrived=arrived,
@@ -212,11 +229,13 @@
             budget=budget,
             nodes=self._placement.nodes,
         )
+        course.waited = course.waited or step is Step.WAIT
+        return step
 
     # One try.
 
-    async def _try(self, plan: Plan, peer: Peer) -> Outcome:
-        order = self._order(plan, peer)
+    async def _try(self, plan: Plan, peer: Peer, *, may_wait: bool) -> Outcome:
+        order = self._order(plan, peer, may_wait=may_wait)
         self._placement.started(peer)
         code = Code.UNKNOWN_BROKEN
         try:
@@ -234,7 +253,7 @@
             self._placement.finished(peer, code, self._clock.monotonic())
         return outcome
 
-    def _order(self, plan: Plan, peer: Peer) -> HopOrder:
+    def _order(self, plan: Plan, peer: Peer, *, may_wait: bool) -> HopOrder:
         now = self._clock.monotonic()
         route = plan.route
         return HopOrder(
@@ -248,6 +267,7 @@
             target_ms=int((plan.target_at - now) * MS),
             caller=self._settings.hosts.service,
             returning=plan.returning,
+            may_wait=may_wait,
         )
 
     async def _hop(self, plan: Plan, peer: Peer, order: HopOrder) -> Outcome:
--- a/papayalock/node/outcome.py
+++ b/papayalock/node/outcome.py
@@ -34,3 +34,17 @@
 
 
 Outcome = Answered | NoAnswer
+
+
+def final_outcome(earlier: Outcome | None, newer: Outcome) -> Outcome:
+    """Returns what the caller is told after two tries of one call.
+
+    An answer goes before none, the newer before the older; and a try that may
+    have run goes before one that was refused, since the refusal of one try
+    says nothing of the other.
+    """
+    if earlier is None or isinstance(newer, Answered):
+        return newer
+    if isinstance(earlier, Answered) or not earlier.code.not_run:
+        return earlier
+    return newer
--- /dev/null
+++ b/test/test_admission.py
@@ -0,0 +1,135 @@
+"""The gate by rank and target: order, refusal at once, and honest waits."""
+
+from papayalock.core.admission import Job, ServerGate
+from papayalock.core.limits import Queued, Shed, Started
+from papayalock.result import Code
+
+
+def job(rank: int = 2, *, now: float = 0.0, target: float = 0.3, **changes):
+    fields = {
+        'route': 'r',
+        'rank': rank,
+        'arrived': now,
+        'target_at': now + target,
+        'deadline_at': now + 1.2,
+        **changes,
+    }
+    return Job(**fields)
+
+
+def gate(slots: int = 2, pace: float = 0.1) -> ServerGate:
+    made = ServerGate()
+    made.slots = slots
+    warm = job()
+    made.submit(warm, 0)
+    warm.served = True
+    made.finish(warm, pace)
+    return made
+
+
+class TestSlots:
+    def test_without_a_server_everything_is_refused(self):
+        answer = ServerGate().submit(job(), 0)
+        assert answer.code == Code.NO_SERVER
+
+    def test_no_more_calls_run_than_there_are_slots(self):
+        one = gate(slots=2)
+        answers = [one.submit(job(), 0) for _ in range(3)]
+        kinds = [type(answer) for answer in answers]
+        assert kinds == [Started, Started, Queued]
+        assert len(one.running) == 2
+
+    def test_a_failed_call_teaches_no_pace(self):
+        one = gate(pace=0.1)
+        quick = job()
+        one.submit(quick, 1)
+        one.finish(quick, 1.001)
+        assert one.pace.of('r') == 0.1
+
+
+class TestOrder:
+    def test_the_higher_rank_goes_first(self):
+        one = gate(slots=1)
+        running = job()
+        one.submit(running, 0)
+        low, high = job(rank=2), job(rank=1)
+        one.submit(low, 0)
+        one.submit(high, 0)
+        one.finish(running, 0.05)
+        assert one.startable(0.05) == [high]
+
+    def test_one_that_came_back_goes_before_new_ones_of_its_rank(self):
+        one = gate(slots=1, pace=0.05)
+        running = job()
+        one.submit(running, 0)
+        new, back = job(), job(returning=True)
+        one.submit(new, 0)
+        one.submit(back, 0)
+        one.finish(running, 0.05)
+        assert one.startable(0.05) == [back]
+
+
+class TestRefusal:
+    def test_a_call_that_would_miss_its_target_is_refused_at_once(self):
+        one = gate(slots=1, pace=0.1)
+        answers = [one.submit(job(target=0.35), 0) for _ in range(6)]
+        kinds = [type(answer) for answer in answers]
+        assert kinds[:3] == [Started, Queued, Queued]
+        assert kinds[-1] is Shed
+        assert answers[-1].retry_after_ms > 0
+
+    def test_a_queue_of_lower_rank_does_not_refuse_a_higher_one(self):
+        one = gate(slots=1, pace=0.1)
+        for _ in range(6):
+            one.submit(job(rank=2), 0)
+        assert isinstance(one.submit(job(rank=1), 0), Queued)
+
+    def test_one_that_is_late_already_waits_only_for_a_near_slot(self):
+        one = gate(slots=1, pace=0.1)
+        one.submit(job(), 0)
+        assert isinstance(one.submit(job(target=-1), 0), Queued)
+        for _ in range(3):
+            one.submit(job(), 0)
+        assert isinstance(one.submit(job(target=-1), 0), Shed)
+
+    def test_a_passed_deadline_is_refused(self):
+        answer = gate().submit(job(deadline_at=-1.0), 0)
+        assert answer.code == Code.DEADLINE_BEFORE_RUN
+
+
+class TestLoad:
+    def play(self, rate_s: float, seconds: float) -> tuple[int, int, int]:
+        """Plays calls of 100 ms on 2 slots; returns in time, late, refused."""
+        one = gate(slots=2, pace=0.1)
+        ends: list[tuple[float, Job]] = []
+        counts = [0, 0, 0]
+        at = 0.0
+        while at < seconds:
+            while ends and ends[0][0] <= at:
+                end, done = ends.pop(0)
+                done.served = True
+                one.finish(done, end)
+                counts[end > done.target_at] += 1
+                ends += [
+                    (end + 0.1, next_job) for next_job in one.startable(end)
+                ]
+                ends.sort(key=lambda pair: pair[0])
+            call = job(now=at)
+            answer = one.submit(call, at)
+            if isinstance(answer, Started):
+                ends.append((at + 0.1, call))
+                ends.sort(key=lambda pair: pair[0])
+            counts[2] += isinstance(answer, Shed)
+            at += 1 / rate_s
+        return counts[0], counts[1], counts[2]
+
+    def test_twice_the_load_keeps_the_slots_busy_and_the_served_in_time(self):
+        in_time, late, refused = self.play(rate_s=40, seconds=20)
+        assert in_time >= 0.95 * 20 * 20
+        assert late <= 0.02 * in_time
+        assert refused >= 300
+
+    def test_a_light_load_is_served_whole(self):
+        in_time, late, refused = self.play(rate_s=15, seconds=20)
+        assert (late, refused) == (0, 0)
+        assert in_time >= 295
--- /dev/null
+++ b/test/test_budget.py
@@ -0,0 +1,78 @@
+"""The shared retry budget and what follows a failed try."""
+
+import pytest
+
+from papayalock.core.again import Course, Step, next_step
+from papayalock.core.budget import SharedBudget
+from papayalock.result import Code
+
+
+def budget(floor: int = 60) -> SharedBudget:
+    return SharedBudget(window_ms=10_000, percent=20, floor=floor)
+
+
+class TestBudget:
+    def test_all_nodes_together_stay_within_the_floor(self):
+        nodes = [budget() for _ in range(10)]
+        taken = sum(
+            one.take(1.0, nodes=10) for one in nodes for _ in range(100)
+        )
+        assert taken <= 60
+
+    def test_the_share_grows_with_the_calls(self):
+        one = budget(floor=0)
+        for _ in range(100):
+            one.called(0)
+        assert 0 < sum(one.take(1.0, nodes=1) for _ in range(100)) <= 20
+
+    def test_any_window_keeps_the_bound(self):
+        one = budget(floor=10)
+        times = [
+            step / 10 for step in range(400) if one.take(step / 10, nodes=1)
+        ]
+        for start in times:
+            assert sum(start <= at < start + 10 for at in times) <= 10
+
+
+class TestNextStep:
+    def step(self, code: Code, *, arrived: bool = False, **changes) -> Step:
+        fields = {
+            'repeatable': True,
+            'most_runs': 2,
+            'most_asked': 3,
+            'deadline_at': 10.0,
+            **changes,
+        }
+        return next_step(
+            Course(**fields),
+            code,
+            arrived=arrived,
+            now=1.0,
+            pace_s=0.1,
+            budget=budget(),
+            nodes=1,
+        )
+
+    @pytest.mark.parametrize('repeatable', [True, False])
+    def test_what_no_server_saw_goes_to_another_without_cost(self, repeatable):
+        step = self.step(Code.SHED, repeatable=repeatable)
+        assert step is Step.ASK_ANOTHER
+
+    def test_a_call_that_may_have_run_is_repeated_only_when_allowed(self):
+        code = Code.UNKNOWN_BROKEN
+        assert self.step(code, arrived=True, runs=1) is Step.REPEAT
+        assert (
+            self.step(code, arrived=True, runs=1, repeatable=False)
+            is Step.GIVE_UP
+        )
+
+    def test_what_a_server_refused_may_go_on_within_the_budget(self):
+        step = self.step(Code.SHED, arrived=True, repeatable=False)
+        assert step is Step.REPEAT
+
+    def test_no_more_servers_than_allowed_run_a_call(self):
+        step = self.step(Code.UNKNOWN_BROKEN, arrived=True, runs=2)
+        assert step is Step.GIVE_UP
+
+    def test_nothing_follows_the_deadline(self):
+        assert self.step(Code.SHED, deadline_at=0.5) is Step.GIVE_UP
--- /dev/null
+++ b/test/test_foreign.py
@@ -0,0 +1,98 @@
+"""Answers that are not the call's own, and answers without a length."""
+
+import asyncio
+
+import pytest
+
+from papayalock.result import Code
+from papayalock.wire import Request, WireError
+from test.wires import client
+
+GET = Request(b'GET', b'/', [(b'host', b'a')])
+
+
+def answer(call: str, body: str = 'hi') -> bytes:
+    return (
+        f'HTTP/1.1 200 OK\r\nid: {call}\r\ncontent-length: {len(body)}\r\n\r\n{body}'
+    ).encode()
+
+
+def belongs(headers) -> bool:
+    return (b'id', b'mine') in headers
+
+
+async def call(*data: bytes, end: bool = False):
+    conn, _ = client()
+    task = asyncio.create_task(conn.call(GET, 1000, belongs=belongs))
+    await asyncio.sleep(0)
+    for piece in data:
+        conn.data_received(piece)
+    if end:
+        conn.eof_received()
+        conn.connection_lost(None)
+    response = await task
+    return await response.read_all(1000), conn
+
+
+class TestForeignAnswers:
+    def test_an_answer_of_another_call_is_passed_over(self):
+        async def play():
+            return await call(answer('other', 'no') + answer('mine', 'yes'))
+
+        body, conn = asyncio.run(play())
+        assert body == b'yes'
+        assert conn.reusable
+
+    def test_bytes_behind_a_whole_answer_close_the_connection(self):
+        async def play():
+            _, conn = await call(answer('mine'))
+            conn.data_received(answer('mine'))
+            return conn.closed
+
+        assert asyncio.run(play()) is True
+
+    def test_only_a_foreign_answer_is_no_answer(self):
+        async def play():
+            conn, _ = client()
+            task = asyncio.create_task(conn.call(GET, 1000, belongs=belongs))
+            await asyncio.sleep(0)
+            conn.data_received(answer('other'))
+            conn.connection_lost(None)
+            await task
+
+        with pytest.raises(WireError) as caught:
+            asyncio.run(play())
+        assert caught.value.code == Code.UNKNOWN_BROKEN
+
+
+class TestUnframed:
+    HEAD = b'HTTP/1.1 200 OK\r\nid: mine\r\n\r\n'
+
+    def test_an_answer_without_length_ends_with_its_connection(self):
+        async def play():
+            return await call(self.HEAD + b'whole', end=True)
+
+        body, conn = asyncio.run(play())
+        assert body == b'whole'
+        assert not conn.reusable
+
+    def test_a_reset_leaves_it_incomplete(self):
+        async def play():
+            conn, _ = client()
+            task = asyncio.create_task(conn.call(GET, 1000, belongs=belongs))
+            await asyncio.sleep(0)
+            conn.data_received(self.HEAD + b'par')
+            response = await task
+            conn.connection_lost(ConnectionResetError())
+            await response.read_all(1000)
+
+        with pytest.raises(WireError) as caught:
+            asyncio.run(play())
+        assert caught.value.code == Code.INCOMPLETE_ANSWER
+
+    def test_a_short_answer_with_a_length_is_incomplete(self):
+        async def play():
+            await call(answer('mine', 'hello')[:-2], end=True)
+
+        with pytest.raises(WireError):
+            asyncio.run(play())
--- a/test/test_group.py
+++ b/test/test_group.py
@@ -9,10 +9,11 @@
 from papayalock.control.group import Group
 from papayalock.control.storage import GroupStorage
 from papayalock.core.replog import Replica, ReplicaConfig
-from papayalock.messages import Member, Submit
+from papayalock.messages import Member, Publish, Submit
 from papayalock.result import Code, PapayalockError
 from test.cluster import MemoryDisk
 from test.inventories import LedgerDriver, example, submission
+from test.test_routebook import route, route_set
 from test.wires import FastLoop, LoopClock
 
 MEMBERS = [Member(member='a', zone='z', address='a', voter=True)]
@@ -131,3 +132,47 @@
             )
 
         assert run(work()) == (25, True)
+
+
+class TestPoison:
+    def test_a_command_that_others_cannot_read_never_enters_the_log(self):
+        async def work():
+            group = make(MemoryDisk())
+            task = await leading(group)
+            last = group.replica.log.last_index
+            bad = Publish(route_set=route_set(1, 0, route(timeout_ms=0)))
+            with pytest.raises(PapayalockError) as caught:
+                await group.propose(bad)
+            answer = await group.propose(Publish(route_set=route_set(1, 0)))
+            alive = not task.done()
+            await stop(task)
+            return caught.value.code, last, answer.code, alive
+
+        code, last, answer, alive = run(work())
+        assert code == Code.BAD_MESSAGE
+        assert answer == Code.DONE
+        assert alive
+
+
+class TestReads:
+    def test_a_leader_proves_its_reads(self):
+        async def work():
+            group = make(MemoryDisk())
+            task = await leading(group)
+            await group.propose(Publish(route_set=route_set(1, 0)))
+            index = await group.read_index()
+            await group.reach(index)
+            await stop(task)
+            return index, group.replica.applied
+
+        index, applied = run(work())
+        assert index == applied
+
+    def test_a_follower_proves_nothing(self):
+        async def work():
+            group = make(MemoryDisk())
+            with pytest.raises(PapayalockError) as caught:
+                await group.read_index()
+            return caught.value.code
+
+        assert run(work()) == Code.NO_LEADER
--- /dev/null
+++ b/test/test_hosts.py
@@ -0,0 +1,57 @@
+"""Host routes: the longest prefix, and splits that keep their weights."""
+
+from papayalock.core.hosts import HostTable, Splitter
+from papayalock.core.routebook import RouteBook
+from papayalock.messages import Share
+from test.test_routebook import route, route_set
+
+
+def table(*routes) -> HostTable:
+    book = RouteBook()
+    book.publish(route_set(1, 0, *routes))
+    return HostTable(book.parts())
+
+
+class TestMatch:
+    def test_the_longest_prefix_of_the_host_wins(self):
+        hosts = table(
+            route('short', prefix='/a/'),
+            route('long', prefix='/a/b/'),
+            route('elsewhere', host='b.example', prefix='/a/b/c/'),
+        )
+        assert hosts.match('a.example', '/a/b/c/d').name == 'long'
+        assert hosts.match('a.example', '/a/x').name == 'short'
+
+    def test_no_host_or_prefix_is_no_route(self):
+        hosts = table(route('r', prefix='/a/'))
+        assert hosts.match('a.example', '/b/') is None
+        assert hosts.match('c.example', '/a/') is None
+
+    def test_limits_and_policies_are_found(self):
+        hosts = table()
+        assert hosts.limits.idle_timeout_ms == 15000
+        assert set(hosts.policies) == {'floor', 'lots'}
+
+
+class TestSplit:
+    def test_shares_stay_within_one_call_of_the_weights(self):
+        split = route(shares=[Share('floor', 70), Share('lots', 30)])
+        splitter = Splitter()
+        chosen = []
+        for count in range(1, 201):
+            chosen.append(splitter.choose(split))
+            assert abs(chosen.count('floor') - 0.7 * count) <= 1
+
+    def test_a_service_of_weight_zero_gets_nothing(self):
+        split = route(shares=[Share('floor', 0), Share('lots', 3)])
+        splitter = Splitter()
+        assert {splitter.choose(split) for _ in range(20)} == {'lots'}
+
+    def test_changed_weights_hold_at_once(self):
+        splitter = Splitter()
+        before = route(shares=[Share('floor', 9), Share('lots', 1)])
+        for _ in range(50):
+            splitter.choose(before)
+        after = route(shares=[Share('floor', 1), Share('lots', 1)])
+        chosen = [splitter.choose(after) for _ in range(40)]
+        assert abs(chosen.count('floor') - 20) <= 1
--- /dev/null
+++ b/test/test_outcome.py
@@ -0,0 +1,27 @@
+"""What the caller is told after several tries."""
+
+from papayalock.node.outcome import Answered, NoAnswer, final_outcome
+from papayalock.result import Code
+
+GOOD = Answered(200, [], b'')
+BAD = Answered(500, [], b'')
+REFUSED = NoAnswer(Code.SHED, 'no room')
+UNKNOWN = NoAnswer(Code.UNKNOWN_TIMEOUT, 'silent')
+
+
+class TestFinalOutcome:
+    def test_a_refusal_never_hides_a_try_that_may_have_run(self):
+        assert final_outcome(REFUSED, UNKNOWN) is UNKNOWN
+        assert final_outcome(UNKNOWN, REFUSED) is UNKNOWN
+
+    def test_any_answer_goes_before_none(self):
+        assert final_outcome(UNKNOWN, GOOD) is GOOD
+        assert final_outcome(BAD, UNKNOWN) is BAD
+        assert final_outcome(BAD, REFUSED) is BAD
+
+    def test_the_newer_answer_counts(self):
+        assert final_outcome(BAD, GOOD) is GOOD
+
+    def test_the_newer_refusal_counts(self):
+        newer = NoAnswer(Code.NO_SERVER, 'none')
+        assert final_outcome(REFUSED, newer) is newer
--- /dev/null
+++ b/test/test_placing.py
@@ -0,0 +1,140 @@
+"""Placing: expected completion, silence, stale tables and uneven servers."""
+
+import random
+
+from papayalock.core.placing import RETENTION_S, Placement
+from papayalock.messages import Endpoint, ServerLoad
+from papayalock.result import Code
+
+
+def endpoint(name: str, zone: str = 'a', **changes) -> Endpoint:
+    fields = {
+        'server': name,
+        'service': 'floor',
+        'zone': zone,
+        'address': f'{name}:1',
+        'incarnation': 1,
+        'slots': 4,
+        **changes,
+    }
+    return Endpoint(**fields)
+
+
+def placement(*endpoints: Endpoint) -> Placement:
+    made = Placement('a', 'own:1', random.Random(1))
+    for one in endpoints:
+        made.upsert(one, 0)
+    return made
+
+
+def load(made: Placement, name: str, pace_ms: float, jobs: int = 0, **more):
+    made.reported(
+        made.peers[name],
+        ServerLoad(jobs=jobs, slots=4, pace_ms=pace_ms, **more),
+        0,
+    )
+
+
+def chosen(made: Placement, now: float = 0.0, count: int = 40) -> list[str]:
+    names = []
+    for _ in range(count):
+        peer = made.choose('floor', now)
+        names.append(peer.endpoint.server)
+    return names
+
+
+class TestChoice:
+    def test_nothing_ready_is_none(self):
+        made = placement(endpoint('x', state='draining'))
+        assert made.choose('floor', 0) is None
+
+    def test_the_faster_of_two_idle_servers_is_chosen(self):
+        made = placement(endpoint('slow'), endpoint('fast'))
+        load(made, 'slow', 150)
+        load(made, 'fast', 50)
+        assert set(chosen(made)) == {'fast'}
+
+    def test_a_full_fast_server_gives_way_to_an_idle_slow_one(self):
+        made = placement(endpoint('slow'), endpoint('fast'))
+        load(made, 'slow', 150)
+        load(made, 'fast', 50, jobs=16)
+        assert set(chosen(made)) == {'slow'}
+
+    def test_own_calls_under_way_count_at_once(self):
+        made = placement(endpoint('x'), endpoint('y'))
+        load(made, 'x', 100)
+        load(made, 'y', 100)
+        counts = {'x': 0, 'y': 0}
+        for _ in range(8):
+            peer = made.choose('floor', 0)
+            made.started(peer)
+            counts[peer.endpoint.server] += 1
+        assert counts == {'x': 4, 'y': 4}
+
+    def test_a_failing_server_is_avoided_though_it_answers_fast(self):
+        made = placement(endpoint('grey'), endpoint('sound'))
+        load(made, 'grey', 80, failing=0.5)
+        load(made, 'sound', 100)
+        assert set(chosen(made)) == {'sound'}
+
+    def test_a_server_that_joined_gets_calls(self):
+        made = placement(endpoint('old'), endpoint('older'))
+        load(made, 'old', 100, jobs=4)
+        load(made, 'older', 100, jobs=4)
+        made.upsert(endpoint('new'), 0)
+        assert 'new' in chosen(made)
+
+
+class TestFailures:
+    def test_silence_shuns_a_server_at_once_and_for_longer_each_time(self):
+        made = placement(endpoint('x'), endpoint('y'))
+        peer = made.peers['x']
+        for _ in range(2):
+            made.started(peer)
+            made.finished(peer, Code.UNKNOWN_TIMEOUT, 0)
+        assert set(chosen(made, 0.7)) == {'y'}
+        assert 'x' in chosen(made, 0.9)
+
+    def test_an_answer_clears_the_failures(self):
+        made = placement(endpoint('x'))
+        peer = made.peers['x']
+        made.started(peer)
+        made.finished(peer, Code.UNKNOWN_TIMEOUT, 0)
+        made.started(peer)
+        made.finished(peer, Code.DONE, 0)
+        assert peer.shunned_until < 0
+
+    def test_when_all_are_shunned_the_one_due_first_is_tried(self):
+        made = placement(endpoint('x'), endpoint('y'))
+        for name, at in (('x', 0.0), ('y', 0.2)):
+            made.started(made.peers[name])
+            made.finished(made.peers[name], Code.NOT_CONNECTED, at)
+        assert made.choose('floor', 0.3).endpoint.server == 'x'
+
+    def test_a_server_without_room_is_not_shunned(self):
+        made = placement(endpoint('x'))
+        made.started(made.peers['x'])
+        made.finished(made.peers['x'], Code.SHED, 0)
+        assert made.peers['x'].shunned_until < 0
+
+
+class TestTables:
+    def test_a_fresh_table_that_lacks_servers_does_not_empty_the_service(self):
+        made = placement(endpoint('x'), endpoint('y'))
+        made.replace_all([endpoint('x')], 1)
+        assert set(made.peers) == {'x', 'y'}
+        made.forget(1 + RETENTION_S)
+        assert set(made.peers) == {'x'}
+
+    def test_a_server_listed_again_is_kept(self):
+        made = placement(endpoint('x'), endpoint('y'))
+        made.replace_all([], 1)
+        made.upsert(endpoint('y'), 2)
+        made.forget(60)
+        assert set(made.peers) == {'y'}
+
+    def test_a_restart_forgets_what_was_seen_of_the_server(self):
+        made = placement(endpoint('x'))
+        load(made, 'x', 500)
+        made.upsert(endpoint('x', incarnation=2), 1)
+        assert made.peers['x'].load is None
--- /dev/null
+++ b/test/test_routebook.py
@@ -0,0 +1,231 @@
+"""Route sets: compare-and-set on labels, resends, and what is refused."""
+
+import msgspec
+import pytest
+
+from papayalock.core.apply import Applied, Configuration, Rejected
+from papayalock.core.derive import manifest_digest
+from papayalock.core.ledger import Ledger
+from papayalock.core.routebook import RouteBook, checked_types
+from papayalock.messages import (
+    CallerLimits,
+    Delta,
+    HostRoute,
+    Publish,
+    RouteSet,
+    ServicePolicy,
+    Share,
+)
+from papayalock.result import Code, PapayalockError
+
+
+def route(name: str = 'r', service: str = 'floor', **changes) -> HostRoute:
+    fields = {
+        'name': name,
+        'host': 'a.example',
+        'prefix': f'/{name}/',
+        'repeatable': True,
+        'timeout_ms': 500,
+        'target_ms': 300,
+        'rank': 1,
+        'tries': 2,
+        'shares': [Share(service, 1)],
+        **changes,
+    }
+    return HostRoute(**fields)
+
+
+def route_set(label: int, base: int, *routes: HostRoute) -> RouteSet:
+    return RouteSet(
+        label=label,
+        base=base,
+        routes=list(routes or (route(),)),
+        services=[ServicePolicy('floor'), ServicePolicy('lots')],
+        limits=CallerLimits(1000, 1000, 3000, 15000),
+    )
+
+
+class TestLabels:
+    def test_one_of_two_sets_on_the_same_base_wins(self):
+        book = RouteBook()
+        first, fresh = book.publish(route_set(3, 0))
+        assert (first.code, first.label, fresh) == (Code.DONE, 3, True)
+        second, fresh = book.publish(route_set(3, 0, route('other')))
+        assert (second.code, second.label, fresh) == (Code.CONFLICT, 3, False)
+
+    def test_a_resend_is_acknowledged_even_after_later_sets(self):
+        book = RouteBook()
+        book.publish(route_set(3, 0))
+        book.publish(route_set(5, 3, route('next')))
+        again, fresh = book.publish(route_set(3, 0))
+        assert (again.code, again.label, fresh) == (Code.DONE, 3, False)
+        assert book.label == 5
+
+    def test_a_label_must_rise(self):
+        book = RouteBook()
+        book.publish(route_set(3, 0))
+        answer, _ = book.publish(route_set(3, 3, route('next')))
+        assert answer.code == Code.INVALID
+        assert 'label' in answer.message
+
+
+class TestFaults:
+    @pytest.mark.parametrize(
+        'bad',
+        [
+            route(shares=[Share('nowhere', 1)]),
+            route(shares=[Share('floor', -1), Share('lots', 2)]),
+            route(shares=[]),
+            route(timeout_ms=0),
+            route(prefix='r/'),
+        ],
+    )
+    def test_a_faulty_route_is_refused_and_changes_nothing(self, bad):
+        book = RouteBook()
+        book.publish(route_set(3, 0))
+        answer, fresh = book.publish(route_set(4, 3, bad))
+        assert answer.code == Code.INVALID
+        assert not fresh
+        assert book.label == 3
+
+    def test_every_fault_is_named(self):
+        answer, _ = RouteBook().publish(
+            route_set(1, 0, route('a', timeout_ms=0), route('b', 'nowhere'))
+        )
+        assert 'route[a]' in answer.message
+        assert 'route[b]' in answer.message
+
+
+class TestRevisions:
+    def book(self) -> RouteBook:
+        book = RouteBook()
+        first = route_set(3, 0, *(route(f'r{number}') for number in range(50)))
+        first.source = msgspec.json.encode(first).decode()
+        book.publish(first)
+        return book
+
+    def next_set(self) -> RouteSet:
+        routes = [route(f'r{number}') for number in range(1, 50)]
+        routes[7] = route('r8', timeout_ms=900)
+        fresh = route_set(5, 3, *routes, route('late'))
+        fresh.source = msgspec.json.encode(fresh).decode()
+        return fresh
+
+    def test_a_revision_makes_exactly_what_was_sent(self):
+        whole, partly = self.book(), self.book()
+        fresh = self.next_set()
+        whole.publish(fresh)
+        command = partly.command(fresh)
+        assert partly.revise(command)[0].code == Code.DONE
+        assert partly.current == whole.current == fresh
+        assert partly.state.accepted == whole.state.accepted
+
+    def test_it_carries_only_what_changed(self):
+        command = self.book().command(self.next_set())
+        assert {one.name for one in command.changed} == {'r8', 'late'}
+        assert sum(len(edit.pieces) for edit in command.edits) < 12
+
+    def test_a_revision_of_another_label_loses_the_race(self):
+        book = self.book()
+        command = book.command(self.next_set())
+        book.publish(route_set(4, 3, route('other')))
+        answer, fresh = book.revise(command)
+        assert (answer.code, fresh) == (Code.CONFLICT, False)
+
+    def test_a_resent_revision_is_acknowledged(self):
+        book = self.book()
+        command = book.command(self.next_set())
+        book.revise(command)
+        answer, fresh = book.revise(command)
+        assert (answer.code, answer.label, fresh) == (Code.DONE, 5, False)
+
+    def test_a_set_on_an_unknown_label_is_sent_whole(self):
+        assert isinstance(RouteBook().command(self.next_set()), Publish)
+
+    def test_what_needs_no_log_is_settled_at_once(self):
+        book = self.book()
+        assert book.settled(self.next_set()) is None
+        assert book.settled(book.current).code == Code.DONE
+        assert book.settled(route_set(9, 1)).code == Code.CONFLICT
+        faulty = route_set(9, 7, route(shares=[Share('nowhere', 1)]))
+        assert book.settled(faulty).code == Code.INVALID
+
+
+class TestTypes:
+    @pytest.mark.parametrize(
+        'bad', [route(timeout_ms=0), route(tries=0), route(name='')]
+    )
+    def test_a_field_out_of_bounds_is_invalid_before_it_reaches_the_log(
+        self, bad
+    ):
+        with pytest.raises(PapayalockError) as caught:
+            checked_types(route_set(1, 0, bad))
+        assert caught.value.code == Code.INVALID
+
+    def test_a_sound_set_passes_unchanged(self):
+        assert checked_types(route_set(1, 0)) == route_set(1, 0)
+
+
+class TestLedger:
+    def publish(self, ledger: Ledger, index: int, routes: RouteSet):
+        return ledger.apply(index, Publish(route_set=routes))
+
+    def delta(self, ledger: Ledger, base: int = 0) -> Delta:
+        info = ledger.versions[-1]
+        return Delta(
+            version=info.version,
+            base=base,
+            digest=manifest_digest(info.parts),
+            parts=list(ledger.parts_of(info).values()),
+        )
+
+    def test_a_set_becomes_a_version_that_nodes_can_apply(self):
+        ledger = Ledger(history=5, audit_records=10)
+        assert self.publish(ledger, 1, route_set(3, 0)).code == Code.DONE
+        node = Configuration()
+        assert isinstance(node.apply(self.delta(ledger)), Applied)
+        assert node.parts['route/r'].host_route == route()
+
+    def test_a_refused_set_makes_no_version(self):
+        ledger = Ledger(history=5, audit_records=10)
+        self.publish(ledger, 1, route_set(3, 2))
+        assert ledger.version == 0
+
+    def test_a_route_without_its_service_is_not_applied(self):
+        ledger = Ledger(history=5, audit_records=10)
+        self.publish(ledger, 1, route_set(3, 0))
+        delta = self.delta(ledger)
+        delta.parts = [
+            one for one in delta.parts if one.service != 'policy/floor'
+        ]
+        kept = {one.service for one in delta.parts}
+        info = ledger.versions[-1]
+        delta.digest = manifest_digest(
+            {
+                name: digest
+                for name, digest in info.parts.items()
+                if name in kept
+            }
+        )
+        outcome = Configuration().apply(delta)
+        assert isinstance(outcome, Rejected)
+        assert outcome.code == Code.DANGLING_ROUTE
+
+    def test_a_dump_keeps_the_book_and_its_resends(self):
+        ledger = Ledger(history=5, audit_records=10)
+        self.publish(ledger, 1, route_set(3, 0))
+        other = Ledger(history=5, audit_records=10)
+        other.load(ledger.dump())
+        assert other.book.label == 3
+        assert self.publish(other, 2, route_set(3, 0)).code == Code.DONE
+        assert other.version == 1
+        assert (
+            msgspec.json.decode(other.dump())['book']['current']['label'] == 3
+        )
+
+    def test_a_removed_route_leaves_the_version(self):
+        ledger = Ledger(history=5, audit_records=10)
+        self.publish(ledger, 1, route_set(3, 0, route('a'), route('b')))
+        self.publish(ledger, 2, route_set(4, 3, route('b')))
+        assert 'route/a' not in ledger.versions[-1].parts
+        assert 'route/b' in ledger.versions[-1].parts
