Reload settings at SIGHUP; hold a body back until the far node answers; stop when it is quiet

Nodes closed their listener 2.6 s after SIGTERM while callers still came.

Change: SettingsWatch; a call that may not be repeated sends its body only after 100 Continue, so a silent connection proves that it was not run; a stopping node listens until no call is under way; a run whose own calls failed is not repeated; calls above the lowest rank are admitted by half of what their deadline leaves; room for half a mean service time is kept.

--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -38,6 +38,7 @@
 from papayalock.dialect import OperatorDialect
 from papayalock.messages import JoinReq, Member
 from papayalock.pool import Pool
+from papayalock.reload import SettingsWatch
 from papayalock.settings import Settings
 
 log = logging.getLogger(__name__)
@@ -157,6 +158,10 @@
         self.pool.close()
         self.journal.flush()
 
+    def refit(self, settings: Settings) -> None:
+        """Takes over changed settings that may change while running."""
+        self.members.seeds = settings.control.addresses
+
     def _on_end(self, task: 'asyncio.Task[None]') -> None:
         """Stops the process when one of its tasks has failed."""
         if task.cancelled() or task.exception() is None:
@@ -257,6 +262,17 @@
         )
 
 
-async def run_control(settings: Settings, operator: OperatorDialect) -> None:
-    """Runs a control VM until it is stopped."""
-    await ControlVm(settings, operator).run()
+async def run_control(
+    settings: Settings, operator: OperatorDialect, path: Path
+) -> None:
+    """Runs a control VM until it is stopped.
+
+    :param path: the settings file, which is read again when it changes
+    """
+    vm = ControlVm(settings, operator)
+    watch = SettingsWatch(path, settings, vm.refit)
+    watching = asyncio.create_task(watch.run())
+    try:
+        await vm.run()
+    finally:
+        watching.cancel()
--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -20,6 +20,7 @@
 FIRST_GUESS_S = 0.1  # service time assumed before the first is seen
 LEAST_WAIT_MS = 20  # shortest time after which a refused caller may come back
 MOST_WAITING = 512
+SPREAD = 0.5  # service times above the mean for which room is left, in means
 
 
 @dataclass(slots=True, eq=False)
@@ -85,6 +86,7 @@
         self.slots = 0
         self.pace = Pace()
         self.failing = 0.0
+        self._lowest_rank = 0
         self.running: set[Job] = set()
         self._waiting: list[Job] = []
         self._numbers = itertools.count()
@@ -106,6 +108,7 @@
     def submit(self, job: Job, now: float) -> Admittance:
         """Starts, queues or refuses a call."""
         job.number = next(self._numbers)
+        self._lowest_rank = max(self._lowest_rank, job.rank)
         if not self.slots:
             return Shed(Code.NO_SERVER, LEAST_WAIT_MS)
         if job.deadline_at <= now:
@@ -184,13 +187,18 @@
     def _in_time(self, job: Job, now: float, wait: float) -> bool:
         """Whether a call would end within its objective, or was late before.
 
-        A call that has missed its objective already is worth little, so it
-        waits for a slot only when there is one soon.
+        A call above the lowest rank delays only less urgent ones, so it may
+        pass its objective by half of what its deadline leaves. A call of the
+        lowest rank that has missed its objective already is worth little, so
+        it waits for a slot only when there is one soon.
         """
         service = self.pace.of(job.route)
+        end = now + wait + service
+        if job.rank < self._lowest_rank:
+            return end <= (job.target_at + job.deadline_at) / 2
         if job.target_at - now >= service:
-            return now + wait + service <= job.target_at
-        return wait <= service and now + wait + service <= job.deadline_at
+            return end + SPREAD * service <= job.target_at or not wait
+        return wait <= service and end <= job.deadline_at
 
     def _order(self, job: Job, now: float) -> tuple[float, ...]:
         """Returns the sort key of a call: rank, those that came back, age."""
--- a/papayalock/core/budget.py
+++ b/papayalock/core/budget.py
@@ -8,7 +8,7 @@
 from collections import deque
 
 PERCENT = 100
-SAFETY = 0.5  # part of the share spent; the calls of a repeated run repeat too
+SAFETY = 0.7  # part of the share spent; the calls of a repeated run repeat too
 
 
 class SlidingCount:
--- a/papayalock/daemon.py
+++ b/papayalock/daemon.py
@@ -79,33 +79,33 @@
     try:
         settings = load_settings(path)
         start_logging(settings.log.level, settings.name)
-        run_daemon(settings, dialects)
+        run_daemon(settings, dialects, path)
     except PapayalockError as exc:
         sys.stderr.write(f'papayalockd: {exc}\n')
         return 1
     return 0
 
 
-def run_daemon(settings: Settings, dialects: Dialects) -> None:
+def run_daemon(settings: Settings, dialects: Dialects, path: Path) -> None:
     """Runs the role that the settings name, until a signal stops it."""
     with contextlib.suppress(KeyboardInterrupt):
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_role(settings, dialects))
+            runner.run(_role(settings, dialects, path))
 
 
 def _role(
-    settings: Settings, dialects: Dialects
+    settings: Settings, dialects: Dialects, path: Path
 ) -> 'Coroutine[Any, Any, None]':
     """Returns the role's run; a node does not import what only control needs."""
     if settings.role == 'control':
         from papayalock.control.main import run_control
 
-        return run_control(settings, dialects.operator)
+        return run_control(settings, dialects.operator, path)
     if settings.hosts.outbound:
         from papayalock.node.hostsmain import run_host_node
 
         node = NodeDialects(dialects.calls, dialects.announcements)
-        return run_host_node(settings, node)
+        return run_host_node(settings, node, path)
     from papayalock.node.main import run_node
 
     return run_node(settings)
--- a/papayalock/node/hostsmain.py
+++ b/papayalock/node/hostsmain.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import signal
+from pathlib import Path
 
 from papayalock.clock import SystemClock
 from papayalock.core.admission import Job, ServerGate
@@ -20,6 +21,7 @@
 from papayalock.node.listener import Server, ServerLimits
 from papayalock.node.outbound import Outbound
 from papayalock.pool import Pool
+from papayalock.reload import SettingsWatch
 from papayalock.settings import Settings
 
 log = logging.getLogger(__name__)
@@ -29,7 +31,10 @@
 POOLED_PER_ADDRESS = 64
 SWEEP_S = 0.25
 NOTICE_S = 2.6  # time in which callers see that the node is not ready
-EXIT_MARGIN_S = 0.6  # kept at the end of the grace time
+EXIT_MARGIN_S = 0.4  # kept at the end of the grace time
+REFUSE_S = 1.2  # before the end, from which on new calls are refused
+LEAVE_S = 0.2  # longest wait until a control VM knows that the node ends
+QUIET_STEP_S = 0.01
 OK = 200
 UNAVAILABLE = 503
 HEAD_BYTES = 65536
@@ -57,11 +62,14 @@
             hosts.drain_ms,
         )
         self.placement = Placement(settings.zone, address, rng)
+        self.choice = ControlChoice(
+            settings.zone, settings.control.addresses, rng
+        )
         self.agent = HostAgent(
             settings.name,
             settings.zone,
             address,
-            ControlChoice(settings.zone, settings.control.addresses, rng),
+            self.choice,
             self.watch,
             self.placement,
             Pool(hosts.connect_ms, settings.relay.idle_ms, 2),
@@ -158,6 +166,13 @@
     async def _ready(self, call: Call, reply: Reply) -> None:
         reply.whole(OK if self.ready else UNAVAILABLE, [], b'')
 
+    def retune(self, settings: Settings) -> None:
+        """Takes over changed settings that may change while running."""
+        self.choice.reseed(settings.control.addresses)
+        self.announcer.backend = settings.hosts.backend
+        self.announcer.service = settings.hosts.service
+        self.outbound.own_service = settings.hosts.service
+
     def _refit(self) -> None:
         """Follows a change of the configuration or of the server."""
         self.inbound.refit()
@@ -185,26 +200,40 @@
         """Lets callers and other nodes go elsewhere, and calls end."""
         started = self._clock.monotonic()
         log.info('node stops')
+        last = started + self.settings.hosts.grace_ms / MS - EXIT_MARGIN_S
         self.agent.stopping = True
         self.callers.stopping = True
         self.agent.poke()
         await asyncio.sleep(NOTICE_S)
-        for listener in listeners[:1]:
+        clean = await self._quiet(last - REFUSE_S) or await self._finish(last)
+        await self._leave(tasks)
+        for listener in listeners:
             listener.close()
-        spent = self._clock.monotonic() - started
-        left = self.settings.hosts.grace_ms / MS - EXIT_MARGIN_S - spent
-        clean = await self.callers.stop(max(0.0, left))
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.0, left)):
-                await self.outbound.idle()
+        await self.callers.stop(0)
+        await self.hop_server.stop(0)
+        log.info('node stopped', extra={'clean': clean})
+
+    async def _leave(self, tasks: list['asyncio.Task[None]']) -> None:
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await self.agent.leave()
-        spent = self._clock.monotonic() - started
-        left = self.settings.hosts.grace_ms / MS - EXIT_MARGIN_S - spent
-        await self.hop_server.stop(max(0.0, left))
-        log.info('node stopped', extra={'clean': clean})
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LEAVE_S):
+                await self.agent.leave()
+
+    async def _finish(self, last: float) -> bool:
+        """Refuses what still comes, so that what is under way can end."""
+        self.outbound.closing = True
+        return await self._quiet(last)
+
+    async def _quiet(self, until: float) -> bool:
+        """Waits for a moment without calls; returns whether it came in time."""
+        while self._clock.monotonic() < until:
+            busy = self.callers.busy or self.hop_server.busy
+            if not busy and not self.outbound.busy:
+                return True
+            await asyncio.sleep(QUIET_STEP_S)
+        return False
 
 
 def _report_end(task: 'asyncio.Task[None]') -> None:
@@ -212,6 +241,17 @@
         log.critical('task ended', exc_info=task.exception())
 
 
-async def run_host_node(settings: Settings, dialects: NodeDialects) -> None:
-    """Runs a node until it is stopped."""
-    await HostNode(settings, dialects).run()
+async def run_host_node(
+    settings: Settings, dialects: NodeDialects, path: Path
+) -> None:
+    """Runs a node until it is stopped.
+
+    :param path: the settings file, which is read again when it changes
+    """
+    node = HostNode(settings, dialects)
+    watch = SettingsWatch(path, settings, node.retune)
+    watching = asyncio.create_task(watch.run())
+    try:
+        await node.run()
+    finally:
+        watching.cancel()
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -1,6 +1,7 @@
 """The gate in front of the backend server beside this node."""
 
 import logging
+from dataclasses import replace
 
 import msgspec
 
@@ -23,10 +24,17 @@
 MS = 1000  # milliseconds in a second
 ORDER_HEADER = b'papayalock-order'
 ARRIVED_HEADER = b'papayalock-arrived'
+CALLEE_HEADER = b'papayalock-callee-failed'
 ANSWER_BYTES = 16_777_216  # largest answer that is passed on
 UNAVAILABLE = 503
 INTERNAL = frozenset(
-    (ORDER_HEADER, LOAD_HEADER, OUTCOME_HEADER, ARRIVED_HEADER)
+    (
+        ORDER_HEADER,
+        LOAD_HEADER,
+        OUTCOME_HEADER,
+        ARRIVED_HEADER,
+        CALLEE_HEADER,
+    )
 )
 NOT_PASSED_ON = HOP_BY_HOP | INTERNAL
 _ORDER = msgspec.json.Decoder(HopOrder)
@@ -56,6 +64,7 @@
         self._dialect = dialect
         self._clock = clock
         self._alive_ms = alive_ms
+        self.callee_failures = 0
 
     def refit(self) -> None:
         """Takes the slots of the server as it announced itself last."""
@@ -78,6 +87,7 @@
         load = (LOAD_HEADER, msgspec.json.encode(self._gate.load()))
         if isinstance(outcome, Answered):
             headers = [*outcome.headers, load, (OUTCOME_HEADER, b'0 DONE')]
+            headers.append((CALLEE_HEADER, b'%d' % outcome.callee_failed))
             reply.whole(outcome.status, headers, outcome.body)
             return
         code = outcome.code
@@ -119,11 +129,15 @@
         kept = [pair for pair in call.headers if pair[0] not in NOT_PASSED_ON]
         headers = self._dialect.to_backend(kept, terms)
         req = Request(call.method, call.target, headers, call.body)
+        failures = self.callee_failures
         try:
             outcome = await self._exchange(req, serving.address, order, left_ms)
         except WireError as exc:
             self._gate.judged(failed=True)
             return NoAnswer(exc.code, str(exc), arrived=exc.sent)
+        if isinstance(outcome, Answered) and outcome.failed:
+            callee_failed = self.callee_failures != failures
+            outcome = replace(outcome, callee_failed=callee_failed)
         self._judge(outcome, job)
         return outcome
 
@@ -165,6 +179,7 @@
     def _judge(self, outcome: Outcome, job: Job) -> None:
         if isinstance(outcome, Answered):
             job.served = outcome.status < SERVER_ERROR
-            self._gate.judged(failed=outcome.failed)
+            own_fault = outcome.failed and not outcome.callee_failed
+            self._gate.judged(failed=own_fault)
         else:
             self._gate.judged(failed=True)
--- a/papayalock/node/listener.py
+++ b/papayalock/node/listener.py
@@ -58,10 +58,19 @@
         self.stopping = False
         self.conns: set[ServerConn] = set()
 
+    @property
+    def busy(self) -> bool:
+        """Whether any call is under way."""
+        return any(conn.busy for conn in self.conns)
+
     def make_conn(self) -> 'ServerConn':
         """Returns the protocol of one accepted connection."""
         return ServerConn(self)
 
+    def _close_idle(self) -> None:
+        for conn in list(self.conns):
+            conn.close_if_idle()
+
     def sweep(self, now: float) -> None:
         """Closes connections that are idle, or slow to send a head, for too long."""
         for conn in list(self.conns):
@@ -76,10 +85,10 @@
         self.stopping = True
         loop = asyncio.get_running_loop()
         until = loop.time() + timeout
+        self._close_idle()
         while self.conns and loop.time() < until:
-            for conn in list(self.conns):
-                conn.close_if_idle()
             await asyncio.sleep(STOP_POLL_S)
+            self._close_idle()
         clean = not self.conns
         for conn in list(self.conns):
             conn.abort()
@@ -172,10 +181,14 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def busy(self) -> bool:
+        """Whether a call is under way or being read."""
+        return bool(self._turns or self._head_bytes)
+
     def close_if_idle(self) -> None:
         """Closes the connection when no call is under way."""
-        busy = self._turns or self._head_bytes
-        if not busy and self._transport is not None:
+        if not self.busy and self._transport is not None:
             self._transport.close()
 
     def sweep(self, now: float) -> None:
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -17,6 +17,7 @@
 from papayalock.node.inbound import (
     ANSWER_BYTES,
     ARRIVED_HEADER,
+    CALLEE_HEADER,
     NOT_PASSED_ON,
     ORDER_HEADER,
     Inbound,
@@ -70,6 +71,8 @@
     ) -> None:
         """Binds the parts."""
         self._settings = settings
+        self.own_service = settings.hosts.service
+        self.closing = False
         self._own_address = settings.advertise or settings.listen
         self._agent = agent
         self._placement: Placement = agent.placement
@@ -91,10 +94,10 @@
         refusal = self._dialect.refusal(outcome.code, outcome.retry_after_ms)
         reply.whole(refusal.status, refusal.headers, b'')
 
-    async def idle(self) -> None:
-        """Waits until no call goes on without its caller."""
-        while self._background:
-            await asyncio.wait(set(self._background))
+    @property
+    def busy(self) -> bool:
+        """Whether a call goes on, perhaps without its caller."""
+        return bool(self._background)
 
     # From the call to a plan.
 
@@ -107,9 +110,13 @@
         outcome = await self._bounded(plan, budget)
         if isinstance(outcome, NoAnswer):
             self._log_failure(plan, outcome)
+        if isinstance(outcome, NoAnswer) or outcome.failed:
+            self._inbound.callee_failures += 1
         return outcome
 
     def _plan(self, call: Call) -> Plan | NoAnswer:
+        if self.closing:
+            return NoAnswer(Code.DRAINING, 'the node stops', NOT_READY_RETRY_MS)
         if not self._agent.configuration.version:
             return NoAnswer(
                 Code.NOT_CONFIGURED, 'no routes yet', NOT_READY_RETRY_MS
@@ -211,7 +218,8 @@
     ) -> Step:
         if isinstance(outcome, Answered):
             course.runs += 1
-            if not (outcome.failed and course.repeatable):
+            worth_it = outcome.failed and not outcome.callee_failed
+            if not (worth_it and course.repeatable):
                 return Step.GIVE_UP
             code = Code.UNKNOWN_BROKEN
             arrived = True
@@ -265,7 +273,7 @@
             rank=route.rank,
             remaining_ms=max(1, int((plan.deadline_at - MARGIN_S - now) * MS)),
             target_ms=int((plan.target_at - now) * MS),
-            caller=self._settings.hosts.service,
+            caller=self.own_service,
             returning=plan.returning,
             may_wait=may_wait,
         )
@@ -284,7 +292,11 @@
             return NoAnswer(exc.code, str(exc))
         whole = False
         try:
-            response = await conn.call(req, self._settings.hosts.silence_ms)
+            response = await conn.call(
+                req,
+                self._settings.hosts.silence_ms,
+                expect=not order.repeatable,
+            )
             body = await response.read_all(ANSWER_BYTES)
             whole = True
         except WireError as exc:
@@ -312,7 +324,8 @@
                 for pair in response.headers
                 if pair[0] not in NOT_PASSED_ON
             ]
-            return Answered(response.status, headers, body)
+            callee_failed = response.header(CALLEE_HEADER) == b'1'
+            return Answered(response.status, headers, body, callee_failed)
         retry_after = response.header(b'retry-after')
         return NoAnswer(
             code,
--- a/papayalock/node/outcome.py
+++ b/papayalock/node/outcome.py
@@ -16,6 +16,7 @@
     status: int
     headers: Headers
     body: bytes
+    callee_failed: bool = False  # a call of the server's own failed meanwhile
 
     @property
     def failed(self) -> bool:
