--- a/papayalock/control/group.py
+++ b/papayalock/control/group.py
@@ -74,6 +74,7 @@
         self._inbox: asyncio.Queue[PeerMessage | Proposal] = asyncio.Queue()
         self._waiting: dict[int, Proposal] = {}
         self._was_leader = False
+        self._known_leader = ''
         self._applied_bytes = 0
         machine.load(replica.log.snapshot.state)
 
@@ -252,10 +253,26 @@
                 Code.NO_LEADER, 'this control VM stopped leading'
             )
         self._was_leader = self.replica.is_leader
+        self._note_leader()
         self._compact()
         for listener in self.listeners:
             listener()
 
+    def _note_leader(self) -> None:
+        leader = self.replica.leader
+        if leader == self._known_leader:
+            return
+        self._known_leader = leader
+        log.info(
+            'leader changed',
+            extra={
+                'group': self.replica.cfg.group,
+                'leader': leader,
+                'term': self.replica.term,
+                'commit': self.replica.commit,
+            },
+        )
+
     def _fail_waiting(self, code: Code, message: str) -> None:
         for proposal in self._waiting.values():
             if not proposal.fut.done():
--- a/papayalock/control/openzone.py
+++ b/papayalock/control/openzone.py
@@ -56,7 +56,7 @@
             async with asyncio.timeout(PROOF_WAIT_S):
                 await self._group.reach(await self.read_index())
         except (PapayalockError, TimeoutError) as exc:
-            log.info(
+            log.debug(
                 'restarted node refused',
                 extra={'node': req.node, 'reason': str(exc)},
             )
--- a/papayalock/core/heartbeats.py
+++ b/papayalock/core/heartbeats.py
@@ -67,6 +67,17 @@
             return Heard.NEWS
         return Heard.RENEWED
 
+    def introduce(self, found: Announcement, now: float) -> bool:
+        """Takes in a server that was found before any heartbeat of it came.
+
+        :returns: whether it is news; any heartbeat tells more than this
+        """
+        if self.announcement is not None:
+            return False
+        self.announcement = found
+        self.expires = now + self._lease
+        return True
+
     def depart(self, server: str, now: float) -> Heard:
         """Takes in that a server leaves without a drain, or has drained."""
         known = self.announcement
--- a/papayalock/daemon.py
+++ b/papayalock/daemon.py
@@ -78,11 +78,23 @@
     """Runs the daemon on a settings file; returns the exit status."""
     try:
         settings = load_settings(path)
-        start_logging(settings.log.level, settings.name)
+    except PapayalockError as exc:
+        sys.stderr.write(f'papayalockd: {exc}\n')
+        return 1
+    writer = start_logging(
+        settings.log.level,
+        settings.name,
+        lines=settings.log.lines,
+        per_s=settings.log.per_s,
+    )
+    try:
         run_daemon(settings, dialects, path)
     except PapayalockError as exc:
+        log.critical('ended', extra={'code': exc.code, 'reason': str(exc)})
         sys.stderr.write(f'papayalockd: {exc}\n')
         return 1
+    finally:
+        writer.close()
     return 0
 
 
--- a/papayalock/dialect.py
+++ b/papayalock/dialect.py
@@ -70,6 +70,13 @@
         """
         ...
 
+    def identity(self, status: int, headers: Headers) -> str:
+        """Returns the name of a server from its health answer.
+
+        '' when it does not give one, or does not take calls.
+        """
+        ...
+
     def refusal(self, code: Code, retry_after_ms: int) -> Refusal:
         """Returns how a caller is told of an outcome without an answer."""
         ...
--- a/papayalock/native.py
+++ b/papayalock/native.py
@@ -56,6 +56,12 @@
             return Code(int(outcome))
         return Code.DONE
 
+    def identity(self, status: int, headers: Headers) -> str:
+        """Reads the server header of a good health answer."""
+        if status != OK:
+            return ''
+        return first_header(headers, SERVER_HEADER).decode('latin-1')
+
     def refusal(self, code: Code, retry_after_ms: int) -> Refusal:
         """Names the code; a call that was not run may come back."""
         headers = [
--- /dev/null
+++ b/papayalock/node/hostmetrics.py
@@ -0,0 +1,83 @@
+"""Metrics of a node that routes by host."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from papayalock.core.admission import ServerGate
+from papayalock.node.hostagent import HostAgent
+from papayalock.node.http import Call, Reply
+from papayalock.result import Code
+from papayalock.settings import Settings
+
+OK = 200
+TEXT = (b'content-type', b'text/plain; version=0.0.4')
+MOST_RANKS = 16  # ranks told apart; what lies above counts as the last
+BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+
+
+def metrics_address(settings: Settings) -> str:
+    """Returns where the metrics are served, or '' for nowhere."""
+    if not settings.metrics.port:
+        return ''
+    host = settings.listen.rpartition(':')[0]
+    return f'{host}:{settings.metrics.port}'
+
+
+class HostMetrics:
+    """Counts calls by outcome and rank, and shows the state of the node.
+
+    Labels come from the project's own codes and from bounded ranks, never
+    from what a caller sends.
+    """
+
+    def __init__(self, agent: HostAgent, gate: ServerGate) -> None:
+        """Starts at zero."""
+        self._agent = agent
+        self._gate = gate
+        self._registry = Registry()
+        self._calls = Counter(
+            'papayalock_calls_total',
+            'Calls by result code and rank',
+            registry=self._registry,
+        )
+        self._seconds = Histogram(
+            'papayalock_call_seconds',
+            'Time from the arrival of a call to its answer, by rank',
+            buckets=list(BUCKETS_S),
+            registry=self._registry,
+        )
+        self._gauges = Gauge(
+            'papayalock_state', 'State of this node', registry=self._registry
+        )
+
+    def count(self, code: Code, route: str, rank: int, took_s: float) -> None:
+        """Counts one call."""
+        label = str(min(rank, MOST_RANKS))
+        self._calls.inc({'code': code.name, 'rank': label})
+        if route:
+            self._seconds.observe({'rank': label}, took_s)
+
+    def render(self) -> bytes:
+        """Returns the Prometheus text form."""
+        load = self._gate.load()
+        agent = self._agent
+        gauges = {
+            'version': agent.configuration.version,
+            'servers': len(agent.placement.peers),
+            'nodes': agent.placement.nodes,
+            'jobs': load.jobs,
+            'running': len(self._gate.running),
+            'slots': load.slots,
+            'pace_ms': load.pace_ms,
+            'failing': load.failing,
+            'leaving': int(agent.watch.leaving()),
+            'stopping': int(agent.stopping),
+            'control_errors': agent.errors,
+        }
+        for name, current in gauges.items():
+            self._gauges.set({'what': name}, current)
+        text, _ = render(self._registry, [])
+        return bytes(text)
+
+    async def handle(self, call: Call, reply: Reply) -> None:
+        """Answers a scrape."""
+        reply.whole(OK, [TEXT], self.render())
--- a/papayalock/node/hostsmain.py
+++ b/papayalock/node/hostsmain.py
@@ -14,8 +14,10 @@
 from papayalock.core.placing import Placement
 from papayalock.dialect import NodeDialects
 from papayalock.node.announcer import Announcer
+from papayalock.node.finder import BackendFinder
 from papayalock.node.gate import JobQueue
 from papayalock.node.hostagent import HostAgent
+from papayalock.node.hostmetrics import HostMetrics, metrics_address
 from papayalock.node.http import Call, Reply
 from papayalock.node.inbound import Inbound
 from papayalock.node.listener import Server, ServerLimits
@@ -79,6 +81,7 @@
             margin_ms=settings.distribution.margin_ms,
         )
         gate = ServerGate()
+        self.metrics = HostMetrics(self.agent, gate)
         self.inbound = Inbound(
             self.watch,
             JobQueue[Job](gate, clock),
@@ -95,6 +98,7 @@
             self.hops,
             dialects.calls,
             clock,
+            self.metrics,
         )
         self.announcer = Announcer(
             dialects.announcements,
@@ -117,6 +121,10 @@
         self.hop_server = Server(self.inbound.handle, inner)
         self.ready_server = Server(self._ready, inner)
         self.announce_server = Server(self.announcer.handle, inner)
+        self.metrics_server = Server(self.metrics.handle, inner)
+        self.finder = BackendFinder(
+            self.agent, dialects.calls, self.backend_pool, clock, hosts
+        )
         self.agent.on_changed.append(self._refit)
 
     @property
@@ -138,6 +146,7 @@
         tasks = [
             asyncio.create_task(self.agent.run()),
             asyncio.create_task(self._sweep()),
+            asyncio.create_task(self.finder.run()),
         ]
         for task in tasks:
             task.add_done_callback(_report_end)
@@ -152,6 +161,7 @@
             (self.settings.listen, self.hop_server),
             (hosts.ready, self.ready_server),
             (hosts.announce, self.announce_server),
+            (metrics_address(self.settings), self.metrics_server),
         ]
         loop = asyncio.get_running_loop()
         listeners = []
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -117,6 +117,8 @@
             async with Slot(self._queue, job):
                 return await self._send(order, call, serving, job)
         except Refused as exc:
+            if order.may_wait:
+                self._log_refusal(order, exc)
             return NoAnswer(exc.code, 'no slot in time', exc.retry_after_ms)
 
     async def _send(
@@ -176,6 +178,26 @@
         ]
         return Answered(response.status, headers, body)
 
+    def _log_refusal(self, order: HopOrder, refused: Refused) -> None:
+        load = self._gate.load()
+        log.info(
+            'call not admitted',
+            extra={
+                'call': order.call,
+                'server': order.server,
+                'route': order.route,
+                'rank': order.rank,
+                'code': refused.code.name,
+                'running': len(self._gate.running),
+                'jobs': load.jobs,
+                'slots': load.slots,
+                'pace_ms': load.pace_ms,
+                'target_left_ms': order.target_ms,
+                'left_ms': order.remaining_ms,
+                'retry_after_ms': refused.retry_after_ms,
+            },
+        )
+
     def _judge(self, outcome: Outcome, job: Job) -> None:
         if isinstance(outcome, Answered):
             job.served = outcome.status < SERVER_ERROR
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -1,8 +1,6 @@
 """Takes in the calls that begin on this VM and finds each a backend server."""
 
 import asyncio
-import logging
-from dataclasses import dataclass
 
 import msgspec
 
@@ -10,9 +8,11 @@
 from papayalock.core.budget import SharedBudget
 from papayalock.core.hosts import Splitter
 from papayalock.core.placing import Peer, Placement
-from papayalock.dialect import CallDialect, CallerTerms
+from papayalock.dialect import CallDialect
 from papayalock.messages import HopOrder, HostRoute, ServerLoad
+from papayalock.node.calljournal import CallJournal, Plan, Trail
 from papayalock.node.hostagent import HostAgent
+from papayalock.node.hostmetrics import HostMetrics
 from papayalock.node.http import OUTCOME_HEADER, Call, Reply
 from papayalock.node.inbound import (
     ANSWER_BYTES,
@@ -35,8 +35,6 @@
 from papayalock.settings import Settings
 from papayalock.wire import Request, Response, WireError
 
-log = logging.getLogger(__name__)
-
 MS = 1000  # milliseconds in a second
 NOT_READY_RETRY_MS = 300  # wait before a node without routes is asked again
 RETURNING_SHARE = 0.95  # of the usual deadline; with less a caller came back
@@ -44,19 +42,6 @@
 _LOAD = msgspec.json.Decoder(ServerLoad)
 
 
-@dataclass(slots=True)
-class Plan:
-    """One call and what bounds it; times in monotonic seconds."""
-
-    call: Call
-    terms: CallerTerms
-    route: HostRoute
-    service: str
-    deadline_at: float
-    target_at: float
-    returning: bool
-
-
 class Outbound:
     """Handles every call of the callers on this VM."""
 
@@ -68,6 +53,7 @@
         pool: Pool,
         dialect: CallDialect,
         clock: Clock,
+        metrics: HostMetrics,
     ) -> None:
         """Binds the parts."""
         self._settings = settings
@@ -84,6 +70,7 @@
         self._budgets: dict[str, SharedBudget] = {}
         self._usual_deadline: dict[str, int] = {}
         self._background: set[asyncio.Task[Outcome]] = set()
+        self._journal = CallJournal(agent, clock, metrics, settings.log.sample)
 
     async def handle(self, call: Call, reply: Reply) -> None:
         """Answers one call."""
@@ -104,12 +91,12 @@
     async def _outcome(self, call: Call) -> Outcome:
         plan = self._plan(call)
         if isinstance(plan, NoAnswer):
+            self._journal.unplanned(self._dialect.terms(call).call, plan)
             return plan
         budget = self._budget(plan.service)
         budget.called(self._clock.monotonic())
         outcome = await self._bounded(plan, budget)
-        if isinstance(outcome, NoAnswer):
-            self._log_failure(plan, outcome)
+        self._journal.ended(plan, outcome, budget)
         if isinstance(outcome, NoAnswer) or outcome.failed:
             self._inbound.callee_failures += 1
         return outcome
@@ -139,6 +126,7 @@
         return Plan(
             call=call,
             terms=terms,
+            arrived=now,
             route=route,
             service=self._splitter.choose(route),
             deadline_at=now + left_ms / MS,
@@ -186,7 +174,9 @@
             if peer is None:
                 break
             tried = tried | {peer.endpoint.server}
+            plan.trail.append(Trail(peer, self._clock.monotonic()))
             outcome = await self._try(plan, peer, may_wait=course.waited)
+            plan.trail[-1].end(outcome, self._clock.monotonic())
             kept = final_outcome(kept, outcome)
             step = self._step(plan, course, budget, outcome)
         return kept or NoAnswer(
@@ -343,16 +333,3 @@
             )
             self._budgets[service] = budget
         return budget
-
-    def _log_failure(self, plan: Plan, outcome: NoAnswer) -> None:
-        log.info(
-            'call not answered',
-            extra={
-                'call': plan.terms.call,
-                'route': plan.route.name,
-                'service': plan.service,
-                'code': outcome.code,
-                'reason': outcome.reason,
-                'retry_after_ms': outcome.retry_after_ms,
-            },
-        )
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -163,6 +163,9 @@
     Logs.
     """
 
+    lines: Annotated[int, Meta(ge=16, le=1000000)]
+    per_s: Annotated[int, Meta(ge=1, le=1000000)]
+    sample: Annotated[int, Meta(ge=1, le=1000000)]
     level: Literal['DEBUG', 'INFO', 'WARNING', 'ERROR']
 
 
