--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -37,6 +37,8 @@
 from papayalock.core.roster import Roster
 from papayalock.dialect import OperatorDialect
 from papayalock.messages import JoinReq, Member
+from papayalock.node.http import Call, Reply
+from papayalock.node.listener import Server, ServerLimits
 from papayalock.pool import Pool
 from papayalock.reload import SettingsWatch
 from papayalock.settings import Settings
@@ -48,6 +50,10 @@
 POOLED_PER_ADDRESS = 8
 EPOCH_BYTES = 6
 MS = 1000  # milliseconds in a second
+OK = 200
+SCRAPE_BYTES = 8192
+SCRAPE_CONNECTIONS = 16
+METRICS_TYPE = (b'content-type', b'text/plain; version=0.0.4')
 STOP_S = 1  # longest wait for polls at a planned stop
 
 
@@ -149,7 +155,10 @@
             http='httptools',
         )
         self._serving = uvicorn.Server(cfg)
+        scrapes = await self._serve_metrics(host)
         await self._serving.serve()
+        if scrapes is not None:
+            scrapes.close()
         for task in tasks:
             task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
@@ -158,6 +167,18 @@
         self.pool.close()
         self.journal.flush()
 
+    async def _serve_metrics(self, host: str) -> asyncio.Server | None:
+        port = self._settings.metrics.port
+        if not port:
+            return None
+        limits = ServerLimits(SCRAPE_BYTES, SCRAPE_BYTES, SCRAPE_CONNECTIONS)
+        server = Server(self._scrape, limits)
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(server.make_conn, host, port)
+
+    async def _scrape(self, call: Call, reply: Reply) -> None:
+        reply.whole(OK, [METRICS_TYPE], self.server.metrics())
+
     def refit(self, settings: Settings) -> None:
         """Takes over changed settings that may change while running."""
         self.members.seeds = settings.control.addresses
--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -290,6 +290,10 @@
         )
 
     async def _metrics(self, request: Request) -> Response:
+        return Response(OK, None, Content(b'text/plain', self.metrics()))
+
+    def metrics(self) -> bytes:
+        """Returns the metrics in the Prometheus text form."""
         replica = self._control.groups[CONFIG_GROUP].replica
         self._gauges.set({'what': 'version'}, self._control.ledger.version)
         self._gauges.set({'what': 'commit'}, replica.commit)
@@ -299,8 +303,22 @@
         self._gauges.set(
             {'what': 'disk_full'}, int(self._control.config.disk_full)
         )
+        for what, count in self._state().items():
+            self._gauges.set({'what': what}, count)
         text, _ = render(self._registry, [])
-        return Response(OK, None, Content(b'text/plain', text))
+        return bytes(text)
+
+    def _state(self) -> dict[str, int]:
+        replica = self._control.config.replica
+        leased = replica.has_lease(self._control.now())
+        return {
+            'term': replica.term,
+            'applied': replica.applied,
+            'log_entries': replica.log.last_index - replica.log.snapshot.index,
+            'members': len(replica.log.members),
+            'leased': int(leased),
+            'label': self._control.ledger.book.label,
+        }
 
     async def _read(self, request: Request) -> Response:
         reader = self._status.readers[request.path.removeprefix(PREFIX)]
--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -8,6 +8,7 @@
 
 import functools
 import itertools
+import math
 from dataclasses import dataclass
 
 from papayalock.core.limits import Admittance, Queued, Shed, Started
@@ -20,6 +21,8 @@
 FIRST_GUESS_S = 0.1  # service time assumed before the first is seen
 LEAST_WAIT_MS = 20  # shortest time after which a refused caller may come back
 MOST_WAITING = 512
+LEAST_SHARE = 0.2  # of the slot time, that a rank counts on at least
+USAGE_S = 1.0  # time constant in which used slot time is forgotten
 SPREAD = 0.5  # service times above the mean for which room is left, in means
 
 
@@ -78,6 +81,32 @@
         return self._by_route.get(route, self.overall)
 
 
+class RankUsage:
+    """Slot time used by the calls of each rank of late."""
+
+    __slots__ = ('_at', '_used')
+
+    def __init__(self) -> None:
+        """Starts without any."""
+        self._used: dict[int, float] = {}
+        self._at = 0.0
+
+    def note(self, rank: int, taken: float, now: float) -> None:
+        """Adds the slot time of a call; older time counts less."""
+        kept = math.exp((self._at - now) / USAGE_S)
+        self._used = {one: used * kept for one, used in self._used.items()}
+        self._at = now
+        self._used[rank] = self._used.get(rank, 0.0) + taken
+
+    def share_below(self, rank: int) -> float:
+        """Returns the share of the slot time not used by higher ranks."""
+        total = sum(self._used.values())
+        if not total:
+            return 1.0
+        above = sum(used for one, used in self._used.items() if one < rank)
+        return 1.0 - above / total
+
+
 class ServerGate:
     """The slots of one backend server and the calls that wait for them."""
 
@@ -86,6 +115,7 @@
         self.slots = 0
         self.pace = Pace()
         self.failing = 0.0
+        self.usage = RankUsage()
         self._lowest_rank = 0
         self.running: set[Job] = set()
         self._waiting: list[Job] = []
@@ -127,6 +157,7 @@
         """Frees a call's slot, or takes it out of the queue."""
         if job in self.running:
             self.running.discard(job)
+            self.usage.note(job.rank, now - job.started, now)
             if job.served:
                 self.pace.note(job.route, now - job.started)
         elif job in self._waiting:
@@ -150,8 +181,9 @@
     def overdue(self, now: float) -> list[Job]:
         """Removes and returns the queued calls that cannot end in time."""
         late = [one for one in self._waiting if self.too_late_at(one) <= now]
-        for job in late:
-            self._waiting.remove(job)
+        if len(self._waiting) - len(late) > self.slots:
+            late += [one for one in self._waiting if self._hopeless(one, now)]
+        self._waiting = [one for one in self._waiting if one not in late]
         return late
 
     def too_late_at(self, job: Job) -> float:
@@ -171,8 +203,18 @@
         wait = (ahead + self.pace.overall) / max(1, self.slots)
         return max(LEAST_WAIT_MS, int(MS * wait))
 
+    def _hopeless(self, job: Job, now: float) -> bool:
+        """Whether a queued call would go on waiting behind those in time."""
+        if self.too_late_at(job) <= now or job.rank < self._lowest_rank:
+            return False
+        return job.target_at - now < self.pace.of(job.route)
+
     def expected_wait(self, job: Job) -> float:
-        """Returns the seconds until a new call would get a slot."""
+        """Returns the seconds until a new call would get a slot.
+
+        Calls of higher ranks that arrive meanwhile go first, so only the share
+        of the slot time that they have left of late is counted on.
+        """
         now = job.arrived
         own = self._order(job, now)
         ahead = sum(
@@ -182,7 +224,8 @@
         )
         free = len(self.running) < self.slots
         first = 0.0 if free else self.pace.overall
-        return (ahead + first) / max(1, self.slots)
+        share = self.usage.share_below(job.rank)
+        return (ahead + first) / max(1, self.slots) / max(LEAST_SHARE, share)
 
     def _in_time(self, job: Job, now: float, wait: float) -> bool:
         """Whether a call would end within its objective, or was late before.
--- a/papayalock/core/membership.py
+++ b/papayalock/core/membership.py
@@ -54,6 +54,8 @@
         known = self._known.get(endpoint.server)
         if known is not None and endpoint.incarnation < known.incarnation:
             return False
+        if known is not None and _revives(endpoint, known):
+            return False
         if endpoint.state == LEFT:
             self._leases.pop(endpoint.server, None)
         else:
@@ -165,6 +167,18 @@
     return endpoint.incarnation, endpoint.sequence, endpoint.origin
 
 
+def _revives(endpoint: Endpoint, known: Endpoint) -> bool:
+    """Whether a late heartbeat would make a draining server ready again.
+
+    A restarted node may hear an old heartbeat of a server whose drain its
+    predecessor had acknowledged.
+    """
+    if known.state != 'draining' or endpoint.state != 'ready':
+        return False
+    heard = (endpoint.born_ms, endpoint.heartbeat)
+    return heard < (known.born_ms, known.heartbeat)
+
+
 class ExistenceTracker:
     """Decides which services exist, with hysteresis.
 
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -1,6 +1,7 @@
 """Takes in the calls that begin on this VM and finds each a backend server."""
 
 import asyncio
+import logging
 
 import msgspec
 
@@ -27,6 +28,7 @@
     NoAnswer,
     Outcome,
     final_outcome,
+    read_code,
 )
 from papayalock.node.trip import LOAD_HEADER
 from papayalock.pool import Pool
@@ -35,6 +37,8 @@
 from papayalock.settings import Settings
 from papayalock.wire import Request, Response, WireError
 
+log = logging.getLogger(__name__)
+
 MS = 1000  # milliseconds in a second
 NOT_READY_RETRY_MS = 300  # wait before a node without routes is asked again
 RETURNING_SHARE = 0.95  # of the usual deadline; with less a caller came back
@@ -300,14 +304,10 @@
         return self._read_hop(peer, response, body)
 
     def _read_hop(self, peer: Peer, response: Response, body: bytes) -> Outcome:
-        load = response.header(LOAD_HEADER)
-        if load:
-            now = self._clock.monotonic()
-            self._placement.reported(peer, _LOAD.decode(load), now)
-        number = response.header(OUTCOME_HEADER).split(b' ')[0]
-        if not number.isdigit():
+        self._note_load(peer, response.header(LOAD_HEADER))
+        code = read_code(response.header(OUTCOME_HEADER))
+        if code is None:
             return NoAnswer(Code.INCOMPLETE_ANSWER, 'no outcome', arrived=True)
-        code = Code(int(number))
         if code == Code.DONE:
             headers = [
                 pair
@@ -324,6 +324,21 @@
             arrived=response.header(ARRIVED_HEADER) == b'1',
         )
 
+    def _note_load(self, peer: Peer, header: bytes) -> None:
+        try:
+            load = _LOAD.decode(header)
+        except msgspec.MsgspecError as exc:
+            log.warning(
+                'load not read',
+                extra={
+                    'server': peer.endpoint.server,
+                    'code': Code.BAD_MESSAGE,
+                    'reason': str(exc),
+                },
+            )
+            return
+        self._placement.reported(peer, load, self._clock.monotonic())
+
     def _budget(self, service: str) -> SharedBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/papayalock/node/outcome.py
+++ b/papayalock/node/outcome.py
@@ -49,3 +49,12 @@
     if isinstance(earlier, Answered) or not earlier.code.not_run:
         return earlier
     return newer
+
+
+def read_code(header: bytes) -> Code | None:
+    """Returns the code of an outcome header, or None when it has none."""
+    number = header.split(b' ')[0]
+    try:
+        return Code(int(number))
+    except ValueError:
+        return None
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -97,6 +97,39 @@
         assert answer.code == Code.DEADLINE_BEFORE_RUN
 
 
+class TestLateCalls:
+    def test_a_queued_call_that_only_waits_behind_others_is_refused(self):
+        one = gate(slots=1, pace=0.1)
+        running = job()
+        one.submit(running, 0)
+        first, second, third = (
+            job(target=0.41),
+            job(target=0.45, returning=True),
+            job(rank=1, target=0.41),
+        )
+        for waiting in (first, second, third):
+            assert isinstance(one.submit(waiting, 0), Queued)
+        assert one.overdue(0.2) == []
+        assert one.overdue(0.33) == [first]
+
+    def test_a_short_queue_keeps_its_late_calls(self):
+        one = gate(slots=1, pace=0.1)
+        one.submit(job(), 0)
+        late = job(target=0.41)
+        one.submit(late, 0)
+        assert one.overdue(0.5) == []
+
+    def test_a_rank_counts_only_on_what_higher_ones_leave(self):
+        one = gate(slots=1, pace=0.1)
+        for start in (0.1, 0.2, 0.3):
+            high = job(rank=1)
+            one.submit(high, start)
+            one.finish(high, start + 0.1)
+        one.submit(job(rank=1), 0.4)
+        low = one.expected_wait(job(rank=2))
+        assert low > 2 * one.expected_wait(job(rank=1))
+
+
 class TestLoad:
     def play(self, rate_s: float, seconds: float) -> tuple[int, int, int]:
         """Plays calls of 100 ms on 2 slots; returns in time, late, refused."""
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -174,3 +174,37 @@
         tracker = ExistenceTracker(200, 600_000)
         tracker.decide(['desk'], [], 0.0)
         assert tracker.decide(['desk'], [], 600.0) == []
+
+
+class TestHeartbeatOrder:
+    def drained(self) -> EndpointTable:
+        table = EndpointTable('e', 'c', 1000)
+        table.attach(self.endpoint('draining', 1, heartbeat=5), 0)
+        return table
+
+    def endpoint(self, state: str, incarnation: int, **order: int) -> Endpoint:
+        return Endpoint(
+            server='s',
+            service='svc',
+            zone='z',
+            address='a:1',
+            incarnation=incarnation,
+            state=state,
+            **{'born_ms': 100, **order},
+        )
+
+    def test_a_restarted_node_cannot_revive_a_drained_server(self):
+        table = self.drained()
+        assert not table.attach(self.endpoint('ready', 2, heartbeat=3), 1)
+        assert table.endpoints()[0].state == 'draining'
+
+    def test_a_later_start_of_the_server_is_ready(self):
+        table = self.drained()
+        fresh = self.endpoint('ready', 2, heartbeat=1, born_ms=200)
+        assert table.attach(fresh, 1)
+        assert table.endpoints()[0].state == 'ready'
+
+    def test_a_node_that_stopped_by_itself_may_return(self):
+        table = EndpointTable('e', 'c', 1000)
+        table.attach(self.endpoint('draining', 1, heartbeat=2), 0)
+        assert table.attach(self.endpoint('ready', 2, heartbeat=2), 1)
