--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -23,6 +23,7 @@
 MOST_WAITING = 512
 LEAST_SHARE = 0.2  # of the slot time, that a rank counts on at least
 USAGE_S = 1.0  # time constant in which used slot time is forgotten
+SHORT_WAIT = 0.5  # of the service time, that is no reason to refuse
 SPREAD = 0.5  # service times above the mean for which room is left, in means
 
 
@@ -232,16 +233,17 @@
 
         A call above the lowest rank delays only less urgent ones, so it may
         pass its objective by half of what its deadline leaves. A call of the
-        lowest rank that has missed its objective already is worth little, so
-        it waits for a slot only when there is one soon.
+        lowest rank waits for long only when it still meets its objective; for
+        a slot that is free soon it may wait until its deadline, since nothing
+        is won by sending it away.
         """
         service = self.pace.of(job.route)
         end = now + wait + service
         if job.rank < self._lowest_rank:
             return end <= (job.target_at + job.deadline_at) / 2
-        if job.target_at - now >= service:
-            return end + SPREAD * service <= job.target_at or not wait
-        return wait <= service and end <= job.deadline_at
+        if wait <= SHORT_WAIT * service:
+            return end <= job.deadline_at
+        return end + SPREAD * service <= job.target_at
 
     def _order(self, job: Job, now: float) -> tuple[float, ...]:
         """Returns the sort key of a call: rank, those that came back, age."""
--- a/papayalock/ui/__init__.py
+++ b/papayalock/ui/__init__.py
@@ -15,6 +15,7 @@
     show,
     status,
     submit,
+    trace,
     versions,
 )
 
@@ -30,6 +31,7 @@
     audit,
     drain,
     member,
+    trace,
 )
 EXIT_USAGE = 2
 EXIT_BY_CODE = {
--- /dev/null
+++ b/test/test_inbound.py
@@ -0,0 +1,162 @@
+"""The gate's side of a host-routed call: what a server's answer becomes."""
+
+import asyncio
+
+import msgspec
+
+from papayalock.core.admission import Job, ServerGate
+from papayalock.core.heartbeats import BackendWatch
+from papayalock.messages import HopOrder
+from papayalock.native import NativeCalls
+from papayalock.node.gate import JobQueue
+from papayalock.node.http import Call
+from papayalock.node.inbound import Inbound
+from papayalock.node.outcome import Answered, NoAnswer
+from papayalock.result import Code
+from test.test_dispatch import FakePool
+from test.test_heartbeats import beat
+from test.wires import FakeClock
+
+OK = b'HTTP/1.1 200 OK\r\npapayalock-call: c\r\ncontent-length: 2\r\n\r\nhi'
+FAILED = b'HTTP/1.1 500 X\r\npapayalock-call: c\r\ncontent-length: 0\r\n\r\n'
+SHED = (
+    b'HTTP/1.1 503 X\r\npapayalock-outcome: 103 SHED\r\n'
+    b'content-length: 0\r\n\r\n'
+)
+OTHER = SHED.replace(b'103 SHED', b'114 OTHER_SERVER')
+
+
+def order(**changes) -> HopOrder:
+    fields = {
+        'call': 'c',
+        'service': 'floor',
+        'server': 'i-1',
+        'route': 'r',
+        'repeatable': True,
+        'rank': 1,
+        'remaining_ms': 1000,
+        'target_ms': 300,
+        'caller': 'desk',
+        **changes,
+    }
+    return HopOrder(**fields)
+
+
+class Side:
+    """An inbound gate with a scripted server beside it."""
+
+    def __init__(self, *script: bytes | None) -> None:
+        self.clock = FakeClock()
+        self.watch = BackendWatch(lease_ms=4000, drain_ms=2000)
+        self.watch.hear(beat(1), self.clock.now)
+        self.gate = ServerGate()
+        self.pool = FakePool(list(script))
+        self.inbound = Inbound(
+            self.watch,
+            JobQueue[Job](self.gate, self.clock),
+            self.gate,
+            self.pool,
+            NativeCalls(),
+            self.clock,
+            60,
+        )
+        self.inbound.refit()
+
+    async def run(self, **changes):
+        call = Call(b'GET', b'/x', [(b'host', b'a'), (b'te', b'x')])
+        return await self.inbound.run(order(**changes), call)
+
+
+def run(*script: bytes | None, **changes):
+    async def play():
+        side = Side(*script)
+        return await side.run(**changes), side
+
+    return asyncio.run(play())
+
+
+class TestInbound:
+    def test_a_whole_answer_is_passed_on_and_frees_the_slot(self):
+        outcome, side = run(OK)
+        assert (outcome.status, outcome.body) == (200, b'hi')
+        assert not side.gate.running
+        assert b'papayalock-server: i-1' in side.pool.conn.sent
+        assert b'papayalock-caller: desk' in side.pool.conn.sent
+        assert b'\r\nte:' not in side.pool.conn.sent
+
+    def test_what_the_server_refused_was_not_run(self):
+        outcome, _ = run(SHED)
+        assert (outcome.code, outcome.arrived) == (Code.SHED, True)
+
+    def test_a_lost_connection_may_have_run(self):
+        outcome, _ = run(None)
+        assert isinstance(outcome, NoAnswer)
+        assert outcome.code.unknown
+        assert outcome.arrived
+
+    def test_a_server_that_cannot_be_reached_saw_nothing(self):
+        async def play():
+            side = Side()
+            side.pool.refuse = True
+            return await side.run()
+
+        outcome = asyncio.run(play())
+        assert (outcome.code, outcome.arrived) == (Code.NOT_CONNECTED, False)
+
+    def test_a_mistaken_address_gets_nothing_until_the_next_heartbeat(self):
+        async def play():
+            side = Side(OTHER, OK)
+            first = await side.run()
+            second = await side.run()
+            side.watch.hear(beat(2), side.clock.now)
+            return first.code, second.code, await side.run()
+
+        first, second, third = asyncio.run(play())
+        assert (first, second) == (Code.OTHER_SERVER, Code.NO_SERVER)
+        assert isinstance(third, Answered)
+
+    def test_another_start_of_the_server_does_not_run_the_call(self):
+        outcome, side = run(OK, server='i-0')
+        assert outcome.code == Code.OTHER_SERVER
+        assert side.pool.conn.sent == b''
+
+    def test_a_leaving_server_gets_nothing_after_its_time(self):
+        async def play():
+            side = Side(OK)
+            side.watch.hear(beat(2, draining=True), side.clock.now)
+            side.clock.now += 1.3
+            return await side.run(), side.pool.conn.sent
+
+        outcome, sent = asyncio.run(play())
+        assert outcome.code == Code.DRAINING
+        assert sent == b''
+
+    def test_a_failure_below_the_server_is_told_from_its_own(self):
+        async def play():
+            side = Side(FAILED, FAILED)
+            own = await side.run()
+            task = asyncio.create_task(side.run())
+            await asyncio.sleep(0)
+            side.inbound.callee_failures += 1
+            return own, await task, side.gate.failing
+
+        own, below, failing = asyncio.run(play())
+        assert (own.callee_failed, below.callee_failed) == (False, True)
+        assert 0 < failing < 0.2
+
+    def test_an_order_that_cannot_be_read_is_refused(self):
+        class Refusals:
+            def __init__(self) -> None:
+                self.codes = []
+
+            def refuse(self, code, message) -> None:
+                self.codes.append(code)
+
+        async def play(header: bytes):
+            reply = Refusals()
+            headers = [(b'papayalock-order', header)]
+            await Side().inbound.handle(Call(b'GET', b'/', headers), reply)
+            return reply.codes
+
+        for header in (b'', b'{', b'[]', msgspec.json.encode({'call': 1})):
+            assert asyncio.run(play(header)) == [Code.BAD_REQUEST]
