--- a/papayalock/commands.py
+++ b/papayalock/commands.py
@@ -19,6 +19,9 @@
 )
 
 
+Publication = Publish | Revise
+
+
 class _Kind(msgspec.Struct):
     kind: str
 
--- a/papayalock/control/control.py
+++ b/papayalock/control/control.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from papayalock.commands import Command
+from papayalock.commands import Command, Publication
 from papayalock.control.exchange import Exchange
 from papayalock.control.group import Group
 from papayalock.control.zone import Zone
@@ -19,21 +19,18 @@
     ClaimRes,
     Finish,
     Member,
-    Publish,
     PublishRes,
     ReadIndex,
-    Revise,
     RouteSet,
     SetExistence,
     SetMember,
     Submit,
     SubmitRes,
-    ZoneReport,
 )
 from papayalock.pool import Pool, json_request
 from papayalock.ports import Clock
 from papayalock.result import Code, PapayalockError
-from papayalock.wire import Request, WireError
+from papayalock.wire import WireError
 
 log = logging.getLogger(__name__)
 
@@ -41,7 +38,6 @@
 OK = 200
 CATCH_UP_ENTRIES = 64  # entries that a promoted VM may still lack
 BEAT_S = 0.1
-ASK_TIMEOUT_MS = 500
 FORWARD_TIMEOUT_MS = 5000
 MAX_ANSWER_BYTES = 1_048_576
 MS = 1000  # milliseconds in a second
@@ -55,46 +51,6 @@
     return f'claims-{shard}'
 
 
-class ZoneAsker:
-    """Asks the other control VMs of a zone what they released."""
-
-    def __init__(self, own: str, pool: Pool) -> None:
-        """Starts without a group; the composition root sets it."""
-        self.group: Group | None = None
-        self._own = own
-        self._pool = pool
-
-    async def __call__(self, zone: str) -> list[ZoneReport]:
-        """Returns the reports of the control VMs that answered."""
-        if self.group is None:
-            return []
-        replica = self.group.replica
-        members = replica.log.view_at(replica.durable_commit).members
-        peers = [
-            one
-            for one in members
-            if one.member != self._own and serves(one, zone)
-        ]
-        answers = await asyncio.gather(
-            *(self._ask(one.address, zone) for one in peers)
-        )
-        return [answer for answer in answers if answer is not None]
-
-    async def _ask(self, address: str, zone: str) -> ZoneReport | None:
-        req = Request(
-            b'GET',
-            f'/v1/zone-report?zone={zone}'.encode(),
-            [(b'host', address.encode())],
-        )
-        try:
-            _, body = await self._pool.exchange(
-                address, req, ASK_TIMEOUT_MS, MAX_ANSWER_BYTES
-            )
-            return msgspec.json.decode(body, type=ZoneReport)
-        except (WireError, msgspec.MsgspecError):
-            return None
-
-
 class Control:
     """Accepts commands on any control VM and carries out the leader's duties."""
 
@@ -170,7 +126,7 @@
         return msgspec.convert(answer, SubmitRes)
 
     async def publish(
-        self, command: Publish | Revise, *, forwarded: bool = False
+        self, command: Publication, *, forwarded: bool = False
     ) -> PublishRes:
         """Commits a route set, wherever the leader is.
 
--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -11,12 +11,7 @@
 from aioprometheus import Registry
 
 from papayalock.clock import SystemClock
-from papayalock.control.control import (
-    CONFIG_GROUP,
-    Control,
-    ZoneAsker,
-    claims_group,
-)
+from papayalock.control.control import CONFIG_GROUP, Control, claims_group
 from papayalock.control.disk import FileDisk
 from papayalock.control.exchange import Exchange
 from papayalock.control.group import Group, Machine
@@ -29,6 +24,7 @@
 from papayalock.control.status import StatusReader
 from papayalock.control.storage import GroupStorage
 from papayalock.control.zone import Zone
+from papayalock.control.zoneasker import ZoneAsker
 from papayalock.core.claims import Claims
 from papayalock.core.distribute import Admission
 from papayalock.core.ledger import Ledger
--- a/papayalock/control/peers.py
+++ b/papayalock/control/peers.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from papayalock.contacts import Contacts
 from papayalock.messages import PeerMessage
 from papayalock.pool import Pool, json_request
-from papayalock.result import Code
 from papayalock.wire import WireError
 
 log = logging.getLogger(__name__)
@@ -39,7 +39,7 @@
         self._outboxes: dict[str, deque[PeerMessage]] = {}
         self._wake: dict[str, asyncio.Event] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._silent: set[str] = set()
+        self._contacts = Contacts(log, 'control VM')
 
     def send(self, message: PeerMessage) -> None:
         """Queues a message; the oldest are dropped when a peer is slow."""
@@ -79,25 +79,8 @@
             await self._pool.exchange(
                 address, req, SEND_TIMEOUT_MS, MAX_ANSWER_BYTES
             )
-            self._note_answer(name)
+            self._contacts.answered(name)
         except WireError as exc:
-            self._note_silence(name, str(exc))
+            self._contacts.lost(name, str(exc))
             self._pool.drop(address)
             await asyncio.sleep(PAUSE_S)
-
-    def _note_silence(self, name: str, reason: str) -> None:
-        if name not in self._silent:
-            self._silent.add(name)
-            log.warning(
-                'control VM lost',
-                extra={
-                    'peer': name,
-                    'code': Code.UNREACHABLE,
-                    'reason': reason,
-                },
-            )
-
-    def _note_answer(self, name: str) -> None:
-        if name in self._silent:
-            self._silent.discard(name)
-            log.info('control VM regained', extra={'peer': name})
--- a/papayalock/node/agent.py
+++ b/papayalock/node/agent.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from papayalock.contacts import Contacts
 from papayalock.core.apply import Applied, Configuration, Rejected
 from papayalock.core.routing import RouteTable
 from papayalock.core.subscriptions import Subscriptions
@@ -120,7 +121,7 @@
         self._backoff = BACKOFF_FIRST_S
         self._applied = asyncio.Event()
         self._alternate = ''
-        self._silent: set[str] = set()
+        self._contacts = Contacts(log, 'control VM')
 
     @property
     def service(self) -> str:
@@ -223,31 +224,14 @@
                 raise WireError(Code.UNREACHABLE, f'status {status}', sent=True)
             res = _SYNC_RES.decode(body)
         except (WireError, msgspec.MsgspecError) as exc:
-            self._note_silence(address, str(exc))
+            version = self.configuration.version
+            self._contacts.lost(address, str(exc), version=version)
             self._pool.drop(address)
             await self._try_next()
             return
-        self._note_answer(address)
+        self._contacts.answered(address)
         await self._take(sent, res)
 
-    def _note_silence(self, address: str, reason: str) -> None:
-        if address not in self._silent:
-            self._silent.add(address)
-            log.warning(
-                'control VM lost',
-                extra={
-                    'address': address,
-                    'code': Code.UNREACHABLE,
-                    'reason': reason,
-                    'version': self.configuration.version,
-                },
-            )
-
-    def _note_answer(self, address: str) -> None:
-        if address in self._silent:
-            self._silent.discard(address)
-            log.info('control VM regained', extra={'address': address})
-
     def _next_address(self) -> str:
         address = self._alternate
         self._alternate = ''
--- a/papayalock/node/listener.py
+++ b/papayalock/node/listener.py
@@ -299,8 +299,10 @@
         if self._last:
             return
         self._start(self._call)
-        if len(self._turns) >= self._server.limits.pipelined:
-            self._pause()
+        full = len(self._turns) >= self._server.limits.pipelined
+        if full and self._transport is not None and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
@@ -311,11 +313,6 @@
         ):
             self._refuse(Code.TOO_LARGE, 'head is too large')
 
-    def _pause(self) -> None:
-        if self._transport is not None and not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
-
     def _start(self, call: Call) -> None:
         turn = Turn(self)
         self._turns.append(turn)
--- a/papayalock/ui/trace.py
+++ b/papayalock/ui/trace.py
@@ -26,6 +26,7 @@
     'budget_left',
     'retry_after_ms',
     'address',
+    'peer',
     'leaving',
 )
 
--- a/papayalock/wire.py
+++ b/papayalock/wire.py
@@ -55,6 +55,11 @@
         return b'\r\n'.join(lines)
 
 
+def _wake(waiter: 'asyncio.Future[None] | None') -> None:
+    if waiter is not None and not waiter.done():
+        waiter.set_result(None)
+
+
 class Response:
     """An answer whose body is read in pieces."""
 
@@ -301,11 +306,7 @@
         if self._failure is None:
             self._failure = WireError(code, message, sent=self._sent)
         self.close()
-        self._wake()
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        _wake(self._waiter)
 
     # Callbacks of the transport.
 
@@ -331,7 +332,7 @@
         if response.length is None and not response.chunked:
             response.keep_alive = False
             self._complete = True
-            self._wake()
+            _wake(self._waiter)
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser; bytes outside a call are an error."""
@@ -344,7 +345,7 @@
         except httptools.HttpParserError as exc:
             code = Code.INCOMPLETE_ANSWER if self._sent else Code.NOT_CONNECTED
             self._fail(code, f'unreadable answer: {exc}')
-        self._wake()
+        _wake(self._waiter)
 
     # Callbacks of the parser.
 
