--- a/papayalock/core/inventory.py
+++ b/papayalock/core/inventory.py
@@ -3,6 +3,7 @@
 import itertools
 import tomllib
 from collections.abc import Iterable
+from typing import Any
 
 from papayalock.core.problems import Problems
 from papayalock.core.schema import Document, check_document
@@ -72,7 +73,21 @@
     for service in raw.get('services', ()):
         if isinstance(service, dict) and 'operation' in service:
             service['operations'] = service.pop('operation')
-    return check_document(raw, kind, problems)
+    document = check_document(raw, kind, problems)
+    if document is None:
+        _check_names(raw, problems)
+    return document
+
+
+def _check_names(raw: dict[str, Any], problems: Problems) -> None:
+    """Finds names used twice in a document that has other errors."""
+    for plural in ('services', 'rules'):
+        listed = raw.get(plural)
+        if not isinstance(listed, list):
+            continue
+        names = [one.get('name') for one in listed if isinstance(one, dict)]
+        texts = [name for name in names if isinstance(name, str)]
+        problems.add_repeated(texts, plural.removesuffix('s'))
 
 
 def check_inventory(inventory: Inventory) -> list[Problem]:
@@ -81,34 +96,24 @@
     services = {one.name: one for one in inventory.register.services}
     if not services:
         problems.add(Code.BAD_VALUE, 'service', 'no service is listed')
-    _check_unique(
-        (one.name for one in inventory.register.services), 'service', problems
+    problems.add_repeated(
+        (one.name for one in inventory.register.services), 'service'
     )
     for service in inventory.register.services:
         _check_service(service, services, problems)
-    _check_unique((one.name for one in inventory.rules.rules), 'rule', problems)
+    problems.add_repeated((one.name for one in inventory.rules.rules), 'rule')
     for rule in inventory.rules.rules:
         _check_rule(rule, services, problems)
     _check_contradictions(inventory.rules.rules, problems)
     return problems.found
 
 
-def _check_unique(names: Iterable[str], kind: str, problems: Problems) -> None:
-    seen: set[str] = set()
-    for name in names:
-        if name in seen:
-            problems.add(
-                Code.DUPLICATE, f'{kind}[{name}]', 'name is used twice'
-            )
-        seen.add(name)
-
-
 def _check_service(
     service: Service, services: dict[str, Service], problems: Problems
 ) -> None:
     where = f'service[{service.name}]'
-    _check_unique(
-        (one.name for one in service.operations), f'{where}.operation', problems
+    problems.add_repeated(
+        (one.name for one in service.operations), f'{where}.operation'
     )
     for caller in service.callers:
         if caller != ANYONE and caller not in services:
--- a/papayalock/core/problems.py
+++ b/papayalock/core/problems.py
@@ -1,5 +1,7 @@
 """Collects the numbered errors of one document."""
 
+from collections.abc import Iterable
+
 from papayalock.messages import Problem
 from papayalock.result import Code
 
@@ -20,3 +22,13 @@
         """
         problem = Problem(code=code.value, where=where, message=message)
         self.found.append(problem)
+
+    def add_repeated(self, names: Iterable[str], kind: str) -> None:
+        """Adds an error for each name that stands more than once."""
+        seen: set[str] = set()
+        for name in names:
+            if name in seen:
+                self.add(
+                    Code.DUPLICATE, f'{kind}[{name}]', 'name is used twice'
+                )
+            seen.add(name)
--- a/papayalock/core/schema.py
+++ b/papayalock/core/schema.py
@@ -1,6 +1,7 @@
 """Checks decoded documents against the generated types, naming every error."""
 
 import difflib
+import functools
 from collections.abc import Iterator
 from typing import Any, TypeVar
 
@@ -12,6 +13,16 @@
 Document = TypeVar('Document', bound=msgspec.Struct)
 
 
+@functools.cache
+def _fields(kind: type[msgspec.Struct]) -> dict[str, Any]:
+    return {field.name: field for field in msgspec.structs.fields(kind)}
+
+
+@functools.cache
+def _type_info(kind: Any) -> msgspec.inspect.Type:
+    return msgspec.inspect.type_info(kind)
+
+
 def check_document(
     raw: dict[str, Any], kind: type[Document], problems: Problems
 ) -> Document | None:
@@ -33,7 +44,7 @@
     if not isinstance(raw, dict):
         problems.add(Code.BAD_VALUE, where, 'expected a table')
         return
-    fields = {field.name: field for field in msgspec.structs.fields(kind)}
+    fields = _fields(kind)
     for key in raw.keys() - fields.keys():
         problems.add(Code.UNKNOWN_KEY, _join(where, key), _unknown(key, fields))
     for name, field in fields.items():
@@ -46,7 +57,7 @@
 
 
 def _check_value(raw: Any, kind: Any, where: str, problems: Problems) -> None:
-    info = msgspec.inspect.type_info(kind)
+    info = _type_info(kind)
     if isinstance(info, msgspec.inspect.StructType):
         _check_struct(raw, info.cls, where, problems)
         return
--- a/papayalock/result.py
+++ b/papayalock/result.py
@@ -59,6 +59,7 @@
     PATH_OVERLAP = 407
     RULE_FIELD = 408
     MISSING_CALLER = 409
+    FILE_UNREADABLE = 410
     # Applying a version on a node.
     WRONG_BASE = 501
     WRONG_DIGEST = 502
