--- a/models/check.py
+++ b/models/check.py
@@ -3,6 +3,7 @@
 Exits non-zero when a model has an error or a mutant has none.
 """
 
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -12,6 +13,8 @@
 FOLDER = Path(__file__).resolve().parent
 DEPTH = 2_000_000
 
+TOOLS = ('spin', 'gcc')
+
 
 @dataclass(slots=True, frozen=True)
 class Case:
@@ -79,8 +82,17 @@
     return done.stdout
 
 
+def missing_tools() -> str:
+    """Returns the names of the tools that are not installed, or ''."""
+    return ' and '.join(name for name in TOOLS if not shutil.which(name))
+
+
 def main() -> int:
     """Checks every model and mutant."""
+    missing = missing_tools()
+    if missing:
+        sys.stderr.write(f'make model needs {missing} on the PATH\n')
+        return 2
     failed = 0
     for case in CASES:
         for mutant in ('', *case.mutants):
