Bound a node's poll by progress, and compress large answers

Ruled out: the processor (1% of a core), memory (19 MB).

Change: Pool.exchange takes a total time beside the longest silence; a node gives 30 s in all; answers above 4 KB are compressed (packing).

--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -29,6 +29,7 @@
     Submit,
     SyncReq,
 )
+from papayalock.packing import packed
 from papayalock.result import Code, PapayalockError
 
 log = logging.getLogger(__name__)
@@ -164,7 +165,9 @@
 
     async def _sync(self, request: Request) -> Response:
         req = await self._decode(request, self._sync_decoder)
-        return json_response(await self._control.zone.sync(req))
+        reply = await self._control.zone.sync(req)
+        body = packed(msgspec.json.encode(reply))
+        return Response(OK, None, Content(b'application/json', body))
 
     async def _peer(self, request: Request) -> Response:
         for message in await self._decode(request, self._peer_decoder):
--- a/papayalock/node/agent.py
+++ b/papayalock/node/agent.py
@@ -19,6 +19,7 @@
     SyncReq,
     SyncRes,
 )
+from papayalock.packing import unpacked
 from papayalock.pool import Pool, json_request
 from papayalock.ports import Clock, Random
 from papayalock.result import Code
@@ -28,6 +29,7 @@
 
 MS = 1000  # milliseconds in a second
 MAX_ANSWER_BYTES = 67_108_864
+TOTAL_MS = 30_000  # longest time in which a whole answer arrives
 MARGIN_MS = 1500  # on top of the poll for the answer to arrive
 UNKNOWN_MS = 5000  # time for which an unknown service name is refused
 OK = 200
@@ -218,12 +220,16 @@
         )
         try:
             status, body = await self._pool.exchange(
-                address, req, wait_ms + self._margin_ms, MAX_ANSWER_BYTES
+                address,
+                req,
+                wait_ms + self._margin_ms,
+                MAX_ANSWER_BYTES,
+                total_ms=TOTAL_MS,
             )
             if status != OK:
                 raise WireError(Code.UNREACHABLE, f'status {status}', sent=True)
-            res = _SYNC_RES.decode(body)
-        except (WireError, msgspec.MsgspecError) as exc:
+            res = _SYNC_RES.decode(unpacked(body, MAX_ANSWER_BYTES))
+        except (WireError, msgspec.MsgspecError, ValueError) as exc:
             version = self.configuration.version
             self._contacts.lost(address, str(exc), version=version)
             self._pool.drop(address)
--- a/papayalock/pool.py
+++ b/papayalock/pool.py
@@ -74,16 +74,26 @@
             self.drop(address)
 
     async def exchange(
-        self, address: str, req: Request, timeout_ms: int, limit: int
+        self,
+        address: str,
+        req: Request,
+        timeout_ms: int,
+        limit: int,
+        *,
+        total_ms: int | None = None,
     ) -> tuple[int, bytes]:
         """Makes one whole call and returns its status and body.
 
+        :param timeout_ms: longest wait without a byte of the answer
+        :param limit: largest body
+        :param total_ms: longest wait for the whole answer, if it may take
+            longer than ``timeout_ms``, as a large one over a slow link does
         :raises WireError: when there is no whole answer
         """
         conn = await self.take(address)
         whole = False
         try:
-            async with asyncio.timeout(timeout_ms / MS):
+            async with asyncio.timeout((total_ms or timeout_ms) / MS):
                 response = await conn.call(req, timeout_ms)
                 body = await response.read_all(limit)
             whole = True
