--- a/bench/agents.py
+++ b/bench/agents.py
@@ -34,11 +34,19 @@
         self.received = 0
 
     async def exchange(
-        self, address: str, req: Request, timeout_ms: int, limit: int
+        self,
+        address: str,
+        req: Request,
+        timeout_ms: int,
+        limit: int,
+        *,
+        total_ms: int | None = None,
     ) -> tuple[int, bytes]:
         """Makes one call and counts it."""
         self.sent += len(req.head()) + len(req.body)
-        status, body = await super().exchange(address, req, timeout_ms, limit)
+        status, body = await super().exchange(
+            address, req, timeout_ms, limit, total_ms=total_ms
+        )
         self.received += len(body) + 120
         return status, body
 
