--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -192,12 +192,6 @@
         given = job.deadline_at - job.arrived
         return job.deadline_at - min(self.pace.of(job.route), given / 2)
 
-    def close(self) -> list[Job]:
-        """Empties the queue and returns the calls that were in it."""
-        waiting = self._waiting
-        self._waiting = []
-        return waiting
-
     def retry_after_ms(self) -> int:
         """Returns when a refused caller may expect room."""
         ahead = sum(self.pace.of(one.route) for one in self._waiting)
--- a/papayalock/core/placing.py
+++ b/papayalock/core/placing.py
@@ -113,10 +113,6 @@
         """The number of nodes, as far as the endpoints tell."""
         return len({one.endpoint.address for one in self.peers.values()})
 
-    def slots(self, service: str) -> int:
-        """Returns the slots of all usable servers of a service."""
-        return sum(_slots(one) for one in self._ready(service))
-
     # The choice.
 
     def choose(
