Say once what stood twice: watching settings, publications, gauges of a control VM

Both roles wrapped their run in the same watch of the settings; two handlers differed in one type; some gauges were set one by one beside a table of the others. Change: SettingsWatch.beside, one handler for /v1/publish and /v1/revise, one table. Behaviour is meant to stay as it is.

--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -288,8 +288,4 @@
     """
     vm = ControlVm(settings, operator)
     watch = SettingsWatch(path, settings, vm.refit)
-    watching = asyncio.create_task(watch.run())
-    try:
-        await vm.run()
-    finally:
-        watching.cancel()
+    await watch.beside(vm.run())
--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -10,7 +10,8 @@
 from blacksheep import Application, Content, Request, Response
 from blacksheep.server.routing import Router
 
-from papayalock.control.control import CONFIG_GROUP, Control
+from papayalock.commands import Publication
+from papayalock.control.control import Control
 from papayalock.control.members import Members
 from papayalock.control.status import StatusReader
 from papayalock.core.routebook import checked_types
@@ -125,7 +126,7 @@
             '/v1/claim': self._claim,
             '/v1/finish': self._finish,
             '/v1/publish': self._publish,
-            '/v1/revise': self._revise,
+            '/v1/revise': self._publish,
             '/v1/read-index': self._read_index,
             '/v1/join': self._join,
         }
@@ -205,15 +206,9 @@
         )
 
     async def _publish(self, request: Request) -> Response:
-        command = await self._decode(request, msgspec.json.Decoder(Publish))
-        return json_response(
-            await self._control.publish(
-                command, forwarded=_is_forwarded(request)
-            )
-        )
-
-    async def _revise(self, request: Request) -> Response:
-        command = await self._decode(request, msgspec.json.Decoder(Revise))
+        revises = request.path.endswith('revise')
+        kind: type[Publication] = Revise if revises else Publish
+        command = await self._decode(request, msgspec.json.Decoder(kind))
         return json_response(
             await self._control.publish(
                 command, forwarded=_is_forwarded(request)
@@ -297,15 +292,6 @@
 
     def metrics(self) -> bytes:
         """Returns the metrics in the Prometheus text form."""
-        replica = self._control.groups[CONFIG_GROUP].replica
-        self._gauges.set({'what': 'version'}, self._control.ledger.version)
-        self._gauges.set({'what': 'commit'}, replica.commit)
-        self._gauges.set({'what': 'leader'}, int(replica.is_leader))
-        self._gauges.set({'what': 'nodes'}, len(self._control.zone.attached))
-        self._gauges.set({'what': 'servers'}, len(self._control.zone.table))
-        self._gauges.set(
-            {'what': 'disk_full'}, int(self._control.config.disk_full)
-        )
         for what, count in self._state().items():
             self._gauges.set({'what': what}, count)
         text, _ = render(self._registry, [])
@@ -314,13 +300,20 @@
     def _state(self) -> dict[str, int]:
         replica = self._control.config.replica
         leased = replica.has_lease(self._control.now())
+        control = self._control
         return {
+            'version': control.ledger.version,
+            'commit': replica.commit,
+            'leader': int(replica.is_leader),
+            'nodes': len(control.zone.attached),
+            'servers': len(control.zone.table),
+            'disk_full': int(control.config.disk_full),
             'term': replica.term,
             'applied': replica.applied,
             'log_entries': replica.log.last_index - replica.log.snapshot.index,
             'members': len(replica.log.members),
             'leased': int(leased),
-            'label': self._control.ledger.book.label,
+            'label': control.ledger.book.label,
         }
 
     async def _read(self, request: Request) -> Response:
--- a/papayalock/node/hostsmain.py
+++ b/papayalock/node/hostsmain.py
@@ -260,8 +260,4 @@
     """
     node = HostNode(settings, dialects)
     watch = SettingsWatch(path, settings, node.retune)
-    watching = asyncio.create_task(watch.run())
-    try:
-        await node.run()
-    finally:
-        watching.cancel()
+    await watch.beside(node.run())
--- a/papayalock/reload.py
+++ b/papayalock/reload.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from papayalock.config import load_settings
@@ -48,6 +48,14 @@
             self._wanted.clear()
             self.reload()
 
+    async def beside(self, work: Awaitable[None]) -> None:
+        """Watches for as long as some work runs."""
+        watching = asyncio.create_task(self.run())
+        try:
+            await work
+        finally:
+            watching.cancel()
+
     def reload(self) -> None:
         """Reads the file and takes over what changed."""
         self._stamp = self._look()
