Keep a second answer out of the first one's body

Cause: when a server sends another answer in the same piece as the end of the first, the parser went on and its body was appended to a body that was already whole; bytes that are no answer made a good answer fail. Ruled out: cut answers (their length is checked), answers without a length (none were sent then). Shown by feeding the bytes to ClientConn. After: what follows a whole answer is passed over and its connection closed; the whole answer is delivered.

--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak of the real programs on one machine."""
--- /dev/null
+++ b/bench/soak/__main__.py
@@ -0,0 +1,66 @@
+"""Runs the soak: ``python -m bench.soak --seed 7``, or ``--seeds 1-50``."""
+
+import argparse
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from bench.soak.run import SECONDS, soak
+
+OUTPUT_LINES = 40
+
+
+def one(seed: int, args: argparse.Namespace) -> int:
+    """Runs one seed and says what did not hold; returns the exit status."""
+    folder = args.folder or Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+    found = soak(seed, args.seconds, folder, timed=not args.safety)
+    for line in found.broken[:OUTPUT_LINES]:
+        print(f'seed {seed}: {line}')
+    print(f'seed {seed}: {found.summary}; {folder}')
+    return 1 if found.broken else 0
+
+
+def many(seeds: range, args: argparse.Namespace) -> int:
+    """Runs each seed as a process of its own; returns the failed ones."""
+
+    def run(seed: int) -> int:
+        words = ['--seed', str(seed), '--seconds', str(args.seconds)]
+        words.extend(['--safety'] if args.safety else [])
+        done = subprocess.run(
+            [sys.executable, '-m', 'bench.soak', *words],
+            check=False,
+            capture_output=True,
+            text=True,
+        )
+        sys.stdout.write(done.stdout + done.stderr)
+        sys.stdout.flush()
+        return int(done.returncode != 0)
+
+    with ThreadPoolExecutor(args.jobs) as pool:
+        failed = sum(pool.map(run, seeds))
+    print(f'{len(seeds)} seeds, {failed} failed')
+    return failed
+
+
+def main() -> int:
+    """Runs one seed or a range of seeds."""
+    parser = argparse.ArgumentParser(prog='bench.soak', description=__doc__)
+    parser.add_argument('--seed', type=int)
+    parser.add_argument('--seeds', help='first and last seed, as in 1-50')
+    parser.add_argument('--seconds', type=float, default=SECONDS)
+    parser.add_argument('--jobs', type=int, default=3)
+    parser.add_argument(
+        '--safety', action='store_true', help='check no bounds in time'
+    )
+    parser.add_argument('--folder', type=Path, help='for logs and records')
+    args = parser.parse_args()
+    if args.seeds:
+        first, _, last = args.seeds.partition('-')
+        return min(1, many(range(int(first), int(last) + 1), args))
+    return one(args.seed or 1, args)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bench/soak/backend.py
@@ -0,0 +1,152 @@
+"""A stand-in backend server that writes down each run before it starts it.
+
+SIGUSR1 makes it leave: it announces that, writes down when the node has
+acknowledged it, and goes on running what still comes.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import time
+from pathlib import Path
+
+import httpx
+import msgspec
+import uvloop
+
+from bench.soak.checks import INNER
+from papayalock.messages import Announcement
+from papayalock.native import CALL_HEADER, REMAINING_HEADER, SERVER_HEADER
+from papayalock.node.http import Call, Reply
+from papayalock.node.listener import Server, ServerLimits
+
+ANNOUNCE_S = 0.5
+WORK_S = {'look': 0.02, 'pay': 0.03, 'history': 0.06}
+SHORT_WORK_S = 0.005
+INNER_SHARE = 0.5
+LIMITS = ServerLimits(65536, 1 << 20, 4096)
+OK = 200
+BAD_GATEWAY = 502
+
+
+class Backend:
+    """Runs calls, announces itself and keeps the book of both."""
+
+    def __init__(self, args: argparse.Namespace) -> None:
+        """Starts a new life of the server under its old name."""
+        self._args = args
+        self._born = int(time.time() * 1000)
+        self._sequence = 0
+        self._leaving = False
+        self._rng = random.Random(args.seed + self._born)
+        self._book = os.open(
+            args.book, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644
+        )
+        self._http = httpx.AsyncClient(timeout=2.0, trust_env=False)
+
+    def write_down(self, **entry: object) -> None:
+        """Adds one line to the book; a kill loses none."""
+        entry['at'] = time.monotonic()
+        os.write(self._book, f'{json.dumps(entry)}\n'.encode())
+
+    async def handle(self, call: Call, reply: Reply) -> None:
+        """Answers a health check or runs a call."""
+        path = call.target.decode()
+        if path == '/health':
+            reply.whole(OK, [(SERVER_HEADER, self._args.name.encode())], b'')
+            return
+        number = call.header(CALL_HEADER).decode()
+        self.write_down(
+            call=number,
+            path=path,
+            server=f'{self._args.name}@{self._born}',
+            service=self._args.service,
+        )
+        kind = path.split('/')[1]
+        status = OK
+        if kind == 'look' and self._rng.random() < INNER_SHARE:
+            status = await self._inner(number, call.header(REMAINING_HEADER))
+        mean = WORK_S.get(kind, SHORT_WORK_S)
+        await asyncio.sleep(mean * self._rng.uniform(0.5, 1.5))
+        body = json.dumps({'echo': f'{number} {path}'}).encode()
+        reply.whole(status, [(CALL_HEADER, number.encode())], body)
+
+    async def _inner(self, number: str, remaining: bytes) -> int:
+        """Makes a call of the server's own through its node."""
+        headers = {
+            'host': 'mesh.example',
+            CALL_HEADER.decode(): f'{number}{INNER}',
+            REMAINING_HEADER.decode(): remaining.decode(),
+        }
+        try:
+            answer = await self._http.get(
+                f'http://{self._args.outbound}/status/1', headers=headers
+            )
+        except httpx.HTTPError:
+            return BAD_GATEWAY
+        return OK if answer.status_code == OK else BAD_GATEWAY
+
+    async def announce(self) -> None:
+        """Announces the server once."""
+        self._sequence += 1
+        leaving = self._leaving
+        message = Announcement(
+            server=self._args.name,
+            service=self._args.service,
+            address=self._args.advertise,
+            draining=leaving,
+            slots=self._args.slots,
+            born_ms=self._born,
+            sequence=self._sequence,
+        )
+        try:
+            answer = await self._http.post(
+                f'http://{self._args.announce}/announce',
+                content=msgspec.json.encode(message),
+            )
+        except httpx.HTTPError:
+            return
+        if leaving and answer.status_code == OK:
+            self.write_down(drained=f'{self._args.name}@{self._born}')
+
+    async def run(self) -> None:
+        """Serves and announces until it is ended."""
+        loop = asyncio.get_running_loop()
+        wake = asyncio.Event()
+
+        def leave() -> None:
+            self._leaving = True
+            wake.set()
+
+        loop.add_signal_handler(signal.SIGUSR1, leave)
+        host, _, port = self._args.listen.rpartition(':')
+        server = Server(self.handle, LIMITS)
+        await loop.create_server(server.make_conn, host, int(port))
+        while True:
+            await self.announce()
+            try:
+                async with asyncio.timeout(ANNOUNCE_S):
+                    await wake.wait()
+            except TimeoutError:
+                continue
+            wake.clear()
+
+
+def main() -> None:
+    """Runs one stand-in backend server."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    for name in ('name', 'service', 'listen', 'advertise', 'announce'):
+        parser.add_argument(f'--{name}', required=True)
+    parser.add_argument('--outbound', required=True)
+    parser.add_argument('--book', required=True, type=Path)
+    parser.add_argument('--slots', type=int, default=6)
+    parser.add_argument('--seed', type=int, default=1)
+    uvloop.install()
+    asyncio.run(Backend(parser.parse_args()).run())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/soak/checks.py
@@ -0,0 +1,311 @@
+"""Holds a run's history against what papayalock promises."""
+
+import bisect
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from bench.soak.history import Attempt, History, Publication
+from papayalock.result import Code
+
+APPLY_S = 2.0  # time in which an acknowledged version is in force
+ROLLBACK_S = 0.25  # time for which requests of two versions may cross
+TOUCH_S = 3.0  # calm time after which the bounds hold for a process again
+DRAIN_S = 2.0  # time after its acknowledgement in which a drain binds
+RECOVERY_S = 15.0
+RECOVERED_SHARE = 0.25
+LATE_S = 0.5  # past its deadline, from which an answer is overdue
+MOST_LOST = 3
+MOST_LATE = 8
+LATE_SHARE = 0.25
+WINDOW_S = 10.0
+BUDGET_SHARE = 0.2
+BUDGET_FLOOR = 60
+MARK = '/mark/'
+INNER = '.inner'
+SERVICES = {
+    '/look/': 'desk',
+    '/pay/': 'desk',
+    '/history/': 'ledger',
+    '/status/': 'ledger',
+    MARK: 'ledger',
+}
+
+Check = Callable[[History], Iterator[str]]
+
+
+def broken(history: History, *, timed: bool = True) -> list[str]:
+    """Returns what did not hold, one line each; empty when all held.
+
+    :param timed: whether bounds in time are checked too; they say nothing on
+        a machine that is too busy to run the processes
+    """
+    checks = (*SAFETY, *TIMED) if timed else SAFETY
+    return [line for check in checks for line in check(history)]
+
+
+def answers_are_whole_and_own(history: History) -> Iterator[str]:
+    """A success is the answer of a server that ran just this call."""
+    ran = {run.call for run in history.runs}
+    for one in history.attempts:
+        if not one.served:
+            continue
+        if one.echo != f'{one.call} {one.path}':
+            yield f'mixed: {one.call} got the answer of {one.echo!r}'
+        elif one.call not in ran:
+            yield f'mixed: {one.call} was served, but no server ran it'
+
+
+def only_what_was_asked_runs(history: History) -> Iterator[str]:
+    """A server runs what a caller sent, unchanged, at its own service."""
+    paths = {one.call: one.path for one in history.attempts}
+    for run in history.runs:
+        outer = run.call.removesuffix(INNER)
+        known = outer in paths
+        if not known or (outer == run.call and paths[outer] != run.path):
+            yield f'unasked: {run.server} ran {run.call} {run.path}'
+        prefix = f'/{run.path.split("/")[1]}/'
+        if SERVICES.get(prefix) != run.service:
+            yield f'route: {run.service} ran {run.path}'
+
+
+def at_most_once(history: History) -> Iterator[str]:
+    """A call that may not be repeated runs once at most."""
+    times = Counter(run.call for run in history.runs)
+    for one in history.attempts:
+        if not one.repeatable and times[one.call] > 1:
+            yield f'twice: {one.call} ran {times[one.call]} times'
+
+
+def not_run_is_true(history: History) -> Iterator[str]:
+    """A refusal that says that a call was not run tells the truth."""
+    ran = {run.call for run in history.runs}
+    for one in history.attempts:
+        said = one.code >= 0 and Code(one.code).not_run
+        if said and not one.repeatable and one.call in ran:
+            yield f'refused: {one.call} got {Code(one.code).name} and has run'
+
+
+def refused_is_never_in_force(history: History) -> Iterator[str]:
+    """Nothing that was refused, or is invalid, has any effect."""
+    barred = {
+        one.label
+        for one in history.publications
+        if one.refused or not one.valid
+    }
+    for one in history.attempts:
+        label = mark_of(one)
+        if one.served and label in barred:
+            yield f'unaccepted: {one.call} was served by refused {label}'
+    for sent in history.publications:
+        if sent.acked is not None and not sent.valid:
+            yield f'unaccepted: invalid {sent.label} was acknowledged'
+
+
+def versions_form_one_line(history: History) -> Iterator[str]:
+    """Of two sets made from the same label, one at most is accepted."""
+    bases: dict[int, int] = {}
+    for one in history.publications:
+        if one.acked is None:
+            continue
+        other = bases.setdefault(one.base, one.label)
+        if other != one.label:
+            yield f'race: {one.label} and {other} both follow {one.base}'
+
+
+def nothing_accepted_is_lost(history: History) -> Iterator[str]:
+    """The newest accepted version is there at the end."""
+    newest = newest_accepted(history, history.ended)
+    if history.last_label < newest:
+        yield f'lost: {newest} was accepted, {history.last_label} is read'
+
+
+def reads_are_new(history: History) -> Iterator[str]:
+    """A read answers with nothing older than what was accepted before."""
+    for one in history.readings:
+        newest = newest_accepted(history, one.sent - APPLY_S)
+        if one.label < newest:
+            yield f'stale read: {one.label} after {newest} was accepted'
+
+
+def versions_come_into_force(history: History) -> Iterator[str]:
+    """A calm node acts on what was accepted long enough ago."""
+    for one in history.attempts:
+        label = mark_of(one)
+        if not label or not calm(history, one.node, one.sent, one.ended):
+            continue
+        newest = newest_accepted(history, one.sent - APPLY_S)
+        if one.served and label < newest:
+            yield f'stale: {one.call} served by {label}, {newest} in force'
+        dropped = one.code == Code.NO_ROUTE and label == newest
+        if dropped and not _superseded(history, label, one.ended):
+            yield f'stale: {one.call} has no route by {label} at {one.node}'
+
+
+def no_node_goes_back(history: History) -> Iterator[str]:
+    """One start of a node never acts on an older version than before."""
+    ran = {run.call: run.at for run in history.runs}
+    newest: dict[tuple[str, int], tuple[int, float]] = {}
+    marks = [one for one in history.attempts if one.served and mark_of(one)]
+    for one in sorted(marks, key=lambda mark: mark.sent):
+        starts = history.starts.get(one.node, [])
+        start = bisect.bisect(starts, one.sent)
+        label = mark_of(one)
+        highest, seen = newest.get((one.node, start), (0, 0.0))
+        if label < highest and one.sent > seen + ROLLBACK_S:
+            yield f'back: {one.node} served {label} after {highest}'
+        if label > highest:
+            newest[one.node, start] = (label, ran[one.call])
+
+
+def lasting_routes_are_never_denied(history: History) -> Iterator[str]:
+    """What every version allows is never answered as unknown."""
+    for one in history.attempts:
+        denied = one.code in {Code.NO_ROUTE, Code.DENIED}
+        if denied and not mark_of(one):
+            yield f'denied: {one.call} {one.path} at {one.node}'
+
+
+def drains_bind(history: History) -> Iterator[str]:
+    """A server that leaves gets nothing long after its acknowledgement."""
+    acked = {one.server: one.acked for one in history.drains}
+    for run in history.runs:
+        if run.at > acked.get(run.server, run.at) + DRAIN_S:
+            late = run.at - acked[run.server]
+            yield f'drain: {run.server} ran {run.call} {late:.2f} s after'
+
+
+def calls_are_answered(history: History) -> Iterator[str]:
+    """A calm node cuts no call, nor does one that is asked to stop."""
+    ran = {run.call for run in history.runs}
+    lost = [
+        one
+        for one in history.attempts
+        if one.fault == 'broken'
+        and one.call in ran
+        and calm(history, one.node, one.sent, one.ended, unplanned=True)
+    ]
+    if len(lost) > MOST_LOST:
+        calls = ', '.join(f'{one.call} at {one.node}' for one in lost[:5])
+        yield f'lost: {len(lost)} calls cut by calm nodes: {calls}'
+
+
+def deadlines_hold(history: History) -> Iterator[str]:
+    """A calm node answers at the latest when the deadline passes."""
+    due = [
+        one
+        for one in history.attempts
+        if one.ended >= one.deadline
+        and calm(history, one.node, one.sent, one.ended)
+    ]
+    late = [one for one in due if one.ended > one.deadline + LATE_S]
+    if len(late) >= MOST_LATE and len(late) > LATE_SHARE * len(due):
+        yield f'late: {len(late)} of {len(due)} calls held, {late[0].call}'
+
+
+def repeats_stay_in_budget(history: History) -> Iterator[str]:
+    """In no window a service gets more repeats than its budget."""
+    calls: dict[str, list[float]] = {}
+    for one in history.attempts:
+        service = SERVICES[f'/{one.path.split("/")[1]}/']
+        calls.setdefault(service, []).append(one.sent)
+    repeats: dict[str, list[float]] = {}
+    seen: set[tuple[str, str]] = set()
+    for run in sorted(history.runs, key=lambda one: one.at):
+        if (run.call, run.service) in seen:
+            repeats.setdefault(run.service, []).append(run.at)
+        seen.add((run.call, run.service))
+    for service, times in repeats.items():
+        for number, begin in enumerate(times):
+            until = bisect.bisect_left(times, begin + WINDOW_S)
+            asked = sum(
+                begin - WINDOW_S <= sent < begin + WINDOW_S
+                for sent in calls.get(service, [])
+            )
+            allowed = BUDGET_SHARE * asked + BUDGET_FLOOR
+            if until - number > allowed:
+                yield f'budget: {until - number} repeats at {service}'
+                break
+
+
+def service_recovers(history: History) -> Iterator[str]:
+    """Calls are served again once the faults are over."""
+    since = history.quiet_from + RECOVERY_S
+    late = [one for one in history.attempts if one.sent > since]
+    served = sum(one.served for one in late)
+    if late and served < RECOVERED_SHARE * len(late):
+        yield f'recover: {served} of {len(late)} served at the end'
+
+
+def processes_stay_up(history: History) -> Iterator[str]:
+    """No process ends unless it was ended from outside."""
+    for name in history.ended_alone:
+        yield f'ended: {name} ended by itself'
+
+
+SAFETY: tuple[Check, ...] = (
+    answers_are_whole_and_own,
+    only_what_was_asked_runs,
+    at_most_once,
+    not_run_is_true,
+    refused_is_never_in_force,
+    versions_form_one_line,
+    nothing_accepted_is_lost,
+    lasting_routes_are_never_denied,
+    processes_stay_up,
+)
+TIMED: tuple[Check, ...] = (
+    reads_are_new,
+    versions_come_into_force,
+    no_node_goes_back,
+    drains_bind,
+    calls_are_answered,
+    deadlines_hold,
+    repeats_stay_in_budget,
+    service_recovers,
+)
+
+
+def mark_of(attempt: Attempt) -> int:
+    """Returns the label whose effect a call asked for, or 0."""
+    if not attempt.path.startswith(MARK):
+        return 0
+    return int(attempt.path.split('/')[2])
+
+
+def newest_accepted(history: History, before: float) -> int:
+    """Returns the newest label that was accepted before a time."""
+    accepted = [
+        one.label
+        for one in history.publications
+        if one.acked is not None and one.acked <= before
+    ]
+    return max(accepted, default=0)
+
+
+def calm(
+    history: History,
+    node: str,
+    begin: float,
+    end: float,
+    *,
+    unplanned: bool = False,
+) -> bool:
+    """Whether a node and the control VMs were undisturbed for long enough.
+
+    :param unplanned: whether a planned stop does not count as disturbance
+    """
+    names = {node, *history.control}
+    return not any(
+        one.name in names
+        and one.begin <= end
+        and one.end >= begin - TOUCH_S
+        and not (unplanned and one.planned)
+        for one in history.spans
+    )
+
+
+def _superseded(history: History, label: int, before: float) -> bool:
+    def newer(one: Publication) -> bool:
+        return one.label > label and one.sent <= before and not one.refused
+
+    return any(newer(one) for one in history.publications)
--- a/papayalock/daemon.py
+++ b/papayalock/daemon.py
@@ -1,5 +1,7 @@
 """The composition root of ``papayalockd``."""
 
+from papayalock import hangup  # noqa: F401  before what takes long to import
+
 import argparse
 import asyncio
 import contextlib
--- a/papayalock/reload.py
+++ b/papayalock/reload.py
@@ -38,6 +38,7 @@
         """Watches until cancelled."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._wanted.set)
+        self._wanted.set()  # a signal may have come before the handler
         while True:
             try:
                 async with asyncio.timeout(CHECK_S):
--- a/papayalock/wire.py
+++ b/papayalock/wire.py
@@ -147,6 +147,7 @@
         self._head_only = False
         self._belongs: Belongs | None = None
         self._foreign = False
+        self._surplus = False
         self._seen = 0
         self._timeout = 0.0
         self._parser = httptools.HttpResponseParser(self)
@@ -335,7 +336,7 @@
             _wake(self._waiter)
 
     def data_received(self, data: bytes) -> None:
-        """Feeds the parser; bytes outside a call are an error."""
+        """Feeds the parser; bytes outside a call end the connection."""
         self.progress += 1
         if self._complete:
             self.close()
@@ -343,15 +344,23 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
-            code = Code.INCOMPLETE_ANSWER if self._sent else Code.NOT_CONNECTED
-            self._fail(code, f'unreadable answer: {exc}')
+            self._unreadable(exc)
         _wake(self._waiter)
 
+    def _unreadable(self, exc: httptools.HttpParserError) -> None:
+        """Fails the call, unless its answer was whole before."""
+        if self._complete:
+            self.close()
+            return
+        code = Code.INCOMPLETE_ANSWER if self._sent else Code.NOT_CONNECTED
+        self._fail(code, f'unreadable answer: {exc}')
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Refuses a second answer to one request."""
+        """Passes over a second answer to one request."""
         if self._complete:
+            self._surplus = True
             self.close()
         self._headers = []
 
@@ -368,6 +377,8 @@
 
     def on_headers_complete(self) -> None:
         """Builds the response once its head is whole."""
+        if self._surplus:
+            return
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             self._continued = self._continued or status == CONTINUE
@@ -384,7 +395,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffers a piece and pauses reading when the caller is slow."""
-        if self._foreign:
+        if self._foreign or self._surplus:
             return
         self._pieces.append(body)
         self._buffered += len(body)
@@ -398,6 +409,8 @@
 
     def on_message_complete(self) -> None:
         """Marks the answer as whole."""
+        if self._surplus:
+            return
         if self._foreign:
             self._foreign = False
             self._head_bytes = 0
--- a/test/test_foreign.py
+++ b/test/test_foreign.py
@@ -51,6 +51,30 @@
 
         assert asyncio.run(play()) is True
 
+    @pytest.mark.parametrize(
+        'surplus',
+        [
+            answer('mine'),
+            answer('mine', 'a longer one')[:-4],
+            answer('other'),
+            b'HTTP/1.1 200 OK\r\nid: mine\r\n\r\nunframed',
+            b'no answer at all',
+            b'HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n',
+        ],
+    )
+    @pytest.mark.parametrize('cut', [2, 30])
+    def test_what_comes_in_one_piece_behind_an_answer_is_no_part_of_it(
+        self, surplus, cut
+    ):
+        async def play():
+            whole = answer('mine', 'yes')
+            split = len(whole) - cut
+            return await call(whole[:split], whole[split:] + surplus)
+
+        body, conn = asyncio.run(play())
+        assert body == b'yes'
+        assert conn.closed
+
     def test_only_a_foreign_answer_is_no_answer(self):
         async def play():
             conn, _ = client()
--- /dev/null
+++ b/test/test_soak.py
@@ -0,0 +1,248 @@
+"""The soak's plan and its checks: each finds the fault that it is there for."""
+
+import pytest
+
+from bench.soak import checks
+from bench.soak.history import (
+    Attempt,
+    Drain,
+    History,
+    Publication,
+    Reading,
+    Run,
+    Span,
+)
+from bench.soak.plan import QUIET_S, WARM_S, Kind, Role, Target, draw
+from papayalock.result import Code
+
+TARGETS = [
+    *(Target(f'control-{one}', Role.CONTROL) for one in 'abc'),
+    *(Target(f'node-{one}', Role.NODE) for one in 'abc'),
+    *(Target(f'server-{one}', Role.BACKEND) for one in 'abc'),
+]
+
+
+def attempt(call='c-1', path='/look/1', **changed):
+    plain = {
+        'node': 'node-a',
+        'repeatable': not path.startswith('/pay'),
+        'sent': 100.0,
+        'deadline': 101.0,
+        'ended': 100.1,
+        'status': 200,
+        'echo': f'{call} {path}',
+    }
+    return Attempt(call, path, **{**plain, **changed})
+
+
+def run_of(one, at=100.05, server='s-1', service=None):
+    prefix = f'/{one.path.split("/")[1]}/'
+    return Run(
+        one.call, one.path, server, service or checks.SERVICES[prefix], at
+    )
+
+
+def history(attempts, runs=None, **more):
+    if runs is None:
+        runs = [run_of(one) for one in attempts if one.served]
+    return History(['control-a'], attempts, runs, quiet_from=200.0, **more)
+
+
+def accepted(label, base, acked=90.0):
+    return Publication(label, base, True, acked - 0.1, acked)
+
+
+def first_words(found):
+    return {line.split(':')[0] for line in checks.broken(found)}
+
+
+class TestPlan:
+    def test_is_the_same_for_a_seed(self):
+        assert draw(3, 60, TARGETS) == draw(3, 60, TARGETS)
+        assert draw(3, 60, TARGETS) != draw(4, 60, TARGETS)
+
+    @pytest.mark.parametrize('seed', range(40))
+    def test_keeps_to_its_time_and_loses_one_disk_at_most(self, seed):
+        faults = draw(seed, 60, TARGETS)
+        assert faults
+        assert min(one.at for one in faults) >= WARM_S
+        assert max(one.at + one.for_s for one in faults) <= 60 - QUIET_S
+        assert sum(one.kind is Kind.WIPE for one in faults) <= 1
+
+    def test_has_every_kind_and_role_over_some_seeds(self):
+        faults = [one for seed in range(40) for one in draw(seed, 60, TARGETS)]
+        assert {one.kind for one in faults} == set(Kind)
+        assert {one.target for one in faults} == {one.name for one in TARGETS}
+
+    def test_has_series_and_overlaps(self):
+        faults = draw(1, 200, TARGETS)
+        pairs = list(zip(faults, faults[1:], strict=False))
+        assert any(one.target == two.target for one, two in pairs)
+        assert any(two.at < one.at + one.for_s for one, two in pairs)
+
+
+class TestChecks:
+    def test_find_nothing_in_a_good_run(self):
+        mark = attempt('c-2', '/mark/3/1')
+        good = history(
+            [attempt(), mark, attempt('c-3', '/pay/1', ended=100.2)],
+            publications=[accepted(3, 0)],
+            readings=[Reading(3, 100.0)],
+            last_label=3,
+            ended=300.0,
+        )
+        assert not checks.broken(good)
+
+    def test_answer_of_another_call(self):
+        found = history([attempt(echo='c-9 /look/9')])
+        assert first_words(found) == {'mixed'}
+
+    def test_success_that_nobody_ran(self):
+        assert first_words(history([attempt()], runs=[])) == {'mixed'}
+
+    def test_run_that_nobody_asked_for(self):
+        ghost = run_of(attempt('ghost'))
+        assert first_words(history([], [ghost])) == {'unasked'}
+
+    def test_run_with_a_changed_path(self):
+        one = attempt()
+        other = run_of(attempt(path='/look/2'))
+        found = history([one], [run_of(one), other])
+        assert first_words(found) == {'unasked'}
+
+    def test_run_at_another_service(self):
+        one = attempt()
+        found = history([one], [run_of(one, service='ledger')])
+        assert first_words(found) == {'route'}
+
+    def test_inner_calls_are_known(self):
+        one = attempt()
+        inner = Run('c-1.inner', '/status/1', 's-2', 'ledger', 100.06)
+        assert not checks.broken(history([one], [run_of(one), inner]))
+
+    def test_second_run_of_what_may_not_be_repeated(self):
+        one = attempt(path='/pay/1')
+        assert first_words(history([one], [run_of(one)] * 2)) == {'twice'}
+
+    def test_second_run_of_what_may_be_repeated(self):
+        one = attempt()
+        assert not checks.broken(history([one], [run_of(one)] * 2))
+
+    def test_refusal_of_what_has_run(self):
+        one = attempt(path='/pay/1', status=503, code=int(Code.SHED))
+        assert first_words(history([one], [run_of(one)])) == {'refused'}
+
+    def test_refused_version_in_force(self):
+        mark = attempt(path='/mark/4/1')
+        refused = Publication(4, 0, True, 80.0, refused=True)
+        found = history([mark], publications=[refused])
+        assert first_words(found) == {'unaccepted'}
+
+    def test_invalid_version_in_force(self):
+        mark = attempt(path='/mark/4/1')
+        invalid = Publication(4, 0, False, 80.0)
+        found = history([mark], publications=[invalid])
+        assert first_words(found) == {'unaccepted'}
+
+    def test_invalid_version_acknowledged(self):
+        invalid = Publication(4, 0, False, 80.0, 80.1)
+        found = history([], publications=[invalid], last_label=4, ended=300.0)
+        assert first_words(found) == {'unaccepted'}
+
+    def test_two_versions_after_one(self):
+        both = [accepted(4, 3), accepted(5, 3)]
+        found = history([], publications=both, last_label=5, ended=300.0)
+        assert first_words(found) == {'race'}
+
+    def test_lost_version(self):
+        found = history(
+            [], publications=[accepted(4, 3)], last_label=3, ended=300.0
+        )
+        assert first_words(found) == {'lost'}
+
+    def test_old_version_read(self):
+        found = history(
+            [],
+            publications=[accepted(4, 3)],
+            readings=[Reading(3, 95.0)],
+            last_label=4,
+            ended=300.0,
+        )
+        assert first_words(found) == {'stale read'}
+
+    def test_old_version_enforced(self):
+        one = attempt(path='/mark/3/1')
+        found = history(
+            [one],
+            publications=[accepted(3, 0), accepted(4, 3)],
+            last_label=4,
+            ended=300.0,
+        )
+        assert first_words(found) == {'stale'}
+        found.spans.append(Span('node-a', 95.0, 97.5))
+        assert not checks.broken(found)
+
+    def test_new_version_not_enforced(self):
+        one = attempt(path='/mark/4/1', status=404, code=int(Code.NO_ROUTE))
+        newest = accepted(4, 3)
+        found = history([one], publications=[newest], last_label=4, ended=300.0)
+        assert first_words(found) == {'stale'}
+        found.publications.append(Publication(5, 4, True, 100.05))
+        assert not checks.broken(found)
+
+    def test_node_that_goes_back(self):
+        marks = [
+            attempt('c-1', '/mark/4/1'),
+            attempt('c-2', '/mark/3/1', sent=101.0, ended=101.1),
+        ]
+        found = history(marks)
+        assert first_words(found) == {'back'}
+        found.starts['node-a'] = [50.0, 100.5]
+        assert not checks.broken(found)
+
+    def test_lasting_route_denied(self):
+        one = attempt(status=404, code=int(Code.NO_ROUTE))
+        assert first_words(history([one])) == {'denied'}
+
+    def test_call_long_after_a_drain(self):
+        one = attempt(sent=102.0, ended=102.5)
+        late = run_of(one, at=102.4)
+        found = history([one], [late], drains=[Drain('s-1', 100.0)])
+        assert first_words(found) == {'drain'}
+
+    def test_calls_cut_by_a_calm_node(self):
+        cut = [
+            attempt(f'c-{number}', status=0, fault='broken', echo='')
+            for number in range(4)
+        ]
+        found = history(cut, [run_of(one) for one in cut])
+        assert first_words(found) == {'lost'}
+        found.spans.append(Span('node-a', 100.0, 106.0, planned=True))
+        assert first_words(found) == {'lost'}
+        found.spans.append(Span('node-a', 100.0, 100.0))
+        assert not checks.broken(found)
+
+    def test_calls_held_past_their_deadline(self):
+        held = [
+            attempt(f'c-{number}', status=504, code=200, ended=101.6)
+            for number in range(8)
+        ]
+        assert first_words(history(held)) == {'late'}
+
+    def test_repeats_beyond_the_budget(self):
+        calls = [attempt(f'c-{number}') for number in range(100)]
+        runs = [run_of(one) for one in calls]
+        found = history(calls, [*runs, *runs[:80]])
+        assert not checks.broken(found)
+        assert first_words(history(calls, [*runs, *runs[:81]])) == {'budget'}
+
+    def test_no_service_at_the_end(self):
+        late = [
+            attempt(f'c-{number}', sent=220.0, ended=220.1, status=503)
+            for number in range(4)
+        ]
+        assert first_words(history(late, [])) == {'recover'}
+
+    def test_process_that_ended(self):
+        found = history([], ended_alone=['node-a (1)'])
+        assert first_words(found) == {'ended'}
