--- a/papayalock/wire.py
+++ b/papayalock/wire.py
@@ -304,7 +304,8 @@
         self._fail(code, 'no progress')
 
     def _fail(self, code: Code, message: str) -> None:
-        if self._failure is None:
+        """Fails the call, unless its answer was whole before."""
+        if self._failure is None and not self._complete:
             self._failure = WireError(code, message, sent=self._sent)
         self.close()
         _wake(self._waiter)
@@ -344,17 +345,10 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
-            self._unreadable(exc)
+            code = Code.INCOMPLETE_ANSWER if self._sent else Code.NOT_CONNECTED
+            self._fail(code, f'unreadable answer: {exc}')
         _wake(self._waiter)
 
-    def _unreadable(self, exc: httptools.HttpParserError) -> None:
-        """Fails the call, unless its answer was whole before."""
-        if self._complete:
-            self.close()
-            return
-        code = Code.INCOMPLETE_ANSWER if self._sent else Code.NOT_CONNECTED
-        self._fail(code, f'unreadable answer: {exc}')
-
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
