--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,14 +1,20 @@
-"""Runs the soak: ``python -m bench.soak --seed 7``, or ``--seeds 1-50``."""
+"""Runs the soak: ``python -m bench.soak --seed 7``, or ``--seeds 1-50``.
+
+``--kept`` runs every seed that once failed.
+"""
 
 import argparse
 import subprocess
 import sys
 import tempfile
+import tomllib
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from bench.soak.run import SECONDS, soak
 
+KEPT = Path(__file__).with_name('kept.toml')
 OUTPUT_LINES = 40
 
 
@@ -22,7 +28,7 @@
     return 1 if found.broken else 0
 
 
-def many(seeds: range, args: argparse.Namespace) -> int:
+def many(seeds: Sequence[int], args: argparse.Namespace) -> int:
     """Runs each seed as a process of its own; returns the failed ones."""
 
     def run(seed: int) -> int:
@@ -44,11 +50,18 @@
     return failed
 
 
+def kept_seeds() -> list[int]:
+    """Returns the seeds that once failed."""
+    document = tomllib.loads(KEPT.read_text())
+    return [found['number'] for found in document['seed']]
+
+
 def main() -> int:
-    """Runs one seed or a range of seeds."""
+    """Runs one seed, a range of seeds, or those that are kept."""
     parser = argparse.ArgumentParser(prog='bench.soak', description=__doc__)
     parser.add_argument('--seed', type=int)
     parser.add_argument('--seeds', help='first and last seed, as in 1-50')
+    parser.add_argument('--kept', action='store_true')
     parser.add_argument('--seconds', type=float, default=SECONDS)
     parser.add_argument('--jobs', type=int, default=3)
     parser.add_argument(
@@ -59,6 +72,8 @@
     if args.seeds:
         first, _, last = args.seeds.partition('-')
         return min(1, many(range(int(first), int(last) + 1), args))
+    if args.kept:
+        return min(1, many(kept_seeds(), args))
     return one(args.seed or 1, args)
 
 
--- a/bench/soak/backend.py
+++ b/bench/soak/backend.py
@@ -30,6 +30,7 @@
 LIMITS = ServerLimits(65536, 1 << 20, 4096)
 OK = 200
 BAD_GATEWAY = 502
+UNAVAILABLE = 503
 
 
 class Backend:
@@ -56,7 +57,9 @@
         """Answers a health check or runs a call."""
         path = call.target.decode()
         if path == '/health':
-            reply.whole(OK, [(SERVER_HEADER, self._args.name.encode())], b'')
+            status = UNAVAILABLE if self._leaving else OK
+            name = self._args.name.encode()
+            reply.whole(status, [(SERVER_HEADER, name)], b'')
             return
         number = call.header(CALL_HEADER).decode()
         self.write_down(
--- a/papayalock/node/finder.py
+++ b/papayalock/node/finder.py
@@ -82,6 +82,11 @@
         return response
 
     def _introduce(self, name: str) -> None:
+        """Takes the server in, unless control VMs know that it leaves."""
+        known = self._agent.placement.peers.get(name)
+        if known is not None and known.endpoint.state != 'ready':
+            log.info('backend server leaves', extra={'server': name})
+            return
         service = self._hosts.service
         known = [
             peer.endpoint.slots
--- /dev/null
+++ b/test/test_finder.py
@@ -0,0 +1,89 @@
+"""How a node that has just started finds the backend server beside it."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from papayalock.core.heartbeats import BackendWatch
+from papayalock.core.placing import Placement
+from papayalock.messages import Endpoint
+from papayalock.native import NativeCalls
+from papayalock.node.finder import BackendFinder
+from papayalock.result import Code
+from papayalock.wire import WireError
+
+
+class HealthyServer:
+    """Answers a health check as a pooled connection would."""
+
+    def __init__(self, status=200):
+        self.status = status
+        self.headers = [(b'papayalock-server', b's-1')]
+
+    async def take(self, address):
+        return self
+
+    async def call(self, req, timeout_ms):
+        if self.status is None:
+            raise WireError(Code.NOT_CONNECTED, 'nobody', sent=False)
+        return self
+
+    async def read_all(self, limit):
+        return b''
+
+    def give(self, address, conn):
+        """Takes the connection back."""
+
+    def close(self):
+        """Ends the connection."""
+
+
+class Node:
+    def __init__(self, state='', status=200):
+        self.watch = BackendWatch(4000, 2000)
+        self.placement = Placement('zone', '10.0.0.1:1', None)
+        if state:
+            endpoint = Endpoint('s-1', 'a', 'zone', '10.0.0.1:1', 1, 1, state)
+            self.placement.upsert(endpoint, 0.0)
+        self.changes = 0
+        self.agent = SimpleNamespace(
+            watch=self.watch,
+            placement=self.placement,
+            configuration=SimpleNamespace(version=1),
+            hosts=SimpleNamespace(
+                policies={'a': SimpleNamespace(health_path='/health')}
+            ),
+            changed=self.note_change,
+        )
+        self.finder = BackendFinder(
+            self.agent,
+            NativeCalls(),
+            HealthyServer(status),
+            SimpleNamespace(monotonic=lambda: 0.0),
+            SimpleNamespace(service='a', backend='10.0.0.1:2'),
+        )
+
+    def note_change(self):
+        self.changes += 1
+
+
+class TestBackendFinder:
+    @pytest.mark.parametrize('state', ['', 'ready'])
+    def test_introduces_a_server_that_takes_calls(self, state):
+        node = Node(state)
+        asyncio.run(node.finder.run())
+        assert node.watch.announcement.server == 's-1'
+        assert node.changes == 1
+
+    def test_leaves_a_server_alone_that_control_vms_know_to_leave(self):
+        node = Node('draining')
+        asyncio.run(node.finder.run())
+        assert node.watch.announcement is None
+        assert node.changes == 0
+
+    @pytest.mark.parametrize('status', [503, None])
+    def test_introduces_nobody_without_a_good_answer(self, status):
+        node = Node(status=status)
+        asyncio.run(node.finder.run())
+        assert node.watch.announcement is None
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bench.soak import checks
+from bench.soak.__main__ import kept_seeds
 from bench.soak.history import (
     Attempt,
     Drain,
@@ -81,6 +82,11 @@
         assert any(two.at < one.at + one.for_s for one, two in pairs)
 
 
+class TestKeptSeeds:
+    def test_can_be_read(self):
+        assert 8 in kept_seeds()
+
+
 class TestChecks:
     def test_find_nothing_in_a_good_run(self):
         mark = attempt('c-2', '/mark/3/1')
