--- a/papayalock/node/finder.py
+++ b/papayalock/node/finder.py
@@ -88,7 +88,7 @@
             log.info('backend server leaves', extra={'server': name})
             return
         service = self._hosts.service
-        known = [
+        slots = [
             peer.endpoint.slots
             for peer in self._agent.placement.peers.values()
             if peer.endpoint.service == service and peer.endpoint.slots
@@ -97,7 +97,7 @@
             server=name,
             service=service,
             address=self._hosts.backend,
-            slots=min(known, default=CAREFUL_SLOTS),
+            slots=min(slots, default=CAREFUL_SLOTS),
         )
         if self._agent.watch.introduce(found, self._clock.monotonic()):
             log.info('backend server found', extra={'server': name})
