Keep the known servers in a directory by service; drop a setting nobody reads

Placement walked the endpoints of all services on each choice and counted their addresses on each failed try.

--- a/papayalock/core/placing.py
+++ b/papayalock/core/placing.py
@@ -5,8 +5,7 @@
 by the way to it.
 """
 
-from collections.abc import Iterable
-
+from papayalock.core.directory import Directory, Peer
 from papayalock.messages import Endpoint, ServerLoad
 from papayalock.ports import Random
 from papayalock.result import Code
@@ -23,98 +22,23 @@
 MOST_DOUBLINGS = 4
 FAILURES_TO_EJECT = 2
 ABSENT_S = 0.3  # time for which a server that refused is passed over
-RETENTION_S = 6.0  # time for which an endpoint that a new table lacks is kept
 NONE_TRIED: frozenset[str] = frozenset()
 SILENT = frozenset((Code.NOT_CONNECTED, Code.UNKNOWN_TIMEOUT))
 
 
-class Peer:
-    """One backend server as this node sees it."""
-
-    __slots__ = (
-        'endpoint',
-        'failures',
-        'in_flight',
-        'known_since',
-        'load',
-        'load_at',
-        'others',
-        'shunned_until',
-        'unlisted_at',
-    )
-
-    def __init__(self, endpoint: Endpoint, now: float) -> None:
-        """Starts without observations."""
-        self.endpoint = endpoint
-        self.known_since = now
-        self.in_flight = 0
-        self.load: ServerLoad | None = None
-        self.load_at = now
-        self.others = 0
-        self.failures = 0
-        self.shunned_until = float('-inf')
-        self.unlisted_at = float('inf')
-
-
-class Placement:
-    """The known backend servers, and the choice among those of a service."""
+class Placement(Directory):
+    """Chooses among the known backend servers of a service."""
 
     def __init__(self, zone: str, own_address: str, rng: Random) -> None:
         """Starts without servers.
 
         :param own_address: where this node takes calls for its own server
         """
-        self.peers: dict[str, Peer] = {}
+        super().__init__()
         self._zone = zone
         self._own = own_address
         self._rng = rng
 
-    # The directory, kept by the agent.
-
-    def upsert(self, endpoint: Endpoint, now: float) -> None:
-        """Takes in an announced endpoint; a restarted one starts afresh."""
-        known = self.peers.get(endpoint.server)
-        if known is not None and _same_start(known.endpoint, endpoint):
-            known.endpoint = endpoint
-            known.unlisted_at = float('inf')
-        else:
-            self.peers[endpoint.server] = Peer(endpoint, now)
-
-    def remove(self, name: str) -> None:
-        """Forgets a server."""
-        self.peers.pop(name, None)
-
-    def replace_all(self, endpoints: Iterable[Endpoint], now: float) -> None:
-        """Takes in a whole table.
-
-        The table of a control VM that has just started lacks servers that
-        have not reported to it yet, so what it lacks is kept for a while.
-        """
-        listed = {one.server: one for one in endpoints}
-        for endpoint in listed.values():
-            self.upsert(endpoint, now)
-        for name, peer in self.peers.items():
-            if name not in listed:
-                peer.unlisted_at = min(peer.unlisted_at, now)
-        self.forget(now)
-
-    def forget(self, now: float) -> None:
-        """Drops the servers that no table has listed for too long."""
-        gone = [
-            name
-            for name, peer in self.peers.items()
-            if now - peer.unlisted_at >= RETENTION_S
-        ]
-        for name in gone:
-            self.peers.pop(name)
-
-    @property
-    def nodes(self) -> int:
-        """The number of nodes, as far as the endpoints tell."""
-        return len({one.endpoint.address for one in self.peers.values()})
-
-    # The choice.
-
     def choose(
         self, service: str, now: float, avoid: frozenset[str] = NONE_TRIED
     ) -> Peer | None:
@@ -124,7 +48,7 @@
         """
         ready = [
             one
-            for one in self._ready(service)
+            for one in self.ready(service)
             if one.endpoint.server not in avoid
         ]
         usable = [one for one in ready if one.shunned_until <= now]
@@ -157,13 +81,6 @@
         peer.load_at = now
         peer.others = max(0, load.jobs - peer.in_flight + 1)
 
-    def _ready(self, service: str) -> list[Peer]:
-        return [
-            one
-            for one in self.peers.values()
-            if one.endpoint.service == service and one.endpoint.state == 'ready'
-        ]
-
     def _least_shunned(self, ready: list[Peer], now: float) -> Peer | None:
         """Returns a server to probe when all are shunned.
 
@@ -214,10 +131,3 @@
 def _slots(peer: Peer) -> int:
     reported = peer.load.slots if peer.load else 0
     return max(1, peer.endpoint.slots or reported)
-
-
-def _same_start(known: Endpoint, fresh: Endpoint) -> bool:
-    return (known.incarnation, known.born_ms) == (
-        fresh.incarnation,
-        fresh.born_ms,
-    )
--- a/papayalock/node/calljournal.py
+++ b/papayalock/node/calljournal.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from papayalock.core.budget import SharedBudget
-from papayalock.core.placing import Peer
+from papayalock.core.directory import Peer
 from papayalock.dialect import CallerTerms
 from papayalock.messages import HostRoute
 from papayalock.node.hostagent import HostAgent
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -8,7 +8,8 @@
 from papayalock.core.again import Course, Step, next_step
 from papayalock.core.budget import SharedBudget
 from papayalock.core.hosts import Splitter
-from papayalock.core.placing import Peer, Placement
+from papayalock.core.directory import Peer
+from papayalock.core.placing import Placement
 from papayalock.dialect import CallDialect
 from papayalock.messages import HopOrder, HostRoute, ServerLoad
 from papayalock.node.calljournal import CallJournal, Plan, Trail
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -187,7 +187,6 @@
     backend: Annotated[str, Meta(pattern='^([0-9.]+:[0-9]+)?$')]
     service: str
     drain_ms: Annotated[int, Meta(ge=0, le=600000)]
-    apply_ms: Annotated[int, Meta(ge=0, le=600000)]
     grace_ms: Annotated[int, Meta(ge=0, le=600000)]
     pipelined: Annotated[int, Meta(ge=1, le=1024)]
     alive_ms: Annotated[int, Meta(ge=10, le=60000)]
--- a/test/test_placing.py
+++ b/test/test_placing.py
@@ -2,7 +2,8 @@
 
 import random
 
-from papayalock.core.placing import RETENTION_S, Placement
+from papayalock.core.directory import RETENTION_S, Directory
+from papayalock.core.placing import Placement
 from papayalock.messages import Endpoint, ServerLoad
 from papayalock.result import Code
 
@@ -138,3 +139,23 @@
         load(made, 'x', 500)
         made.upsert(endpoint('x', incarnation=2), 1)
         assert made.peers['x'].load is None
+
+
+class TestDirectory:
+    def test_a_server_that_changes_its_service_is_listed_once(self):
+        made = Directory()
+        made.upsert(Endpoint('s', 'a', 'z', 'n:1', 1), 0)
+        made.upsert(Endpoint('s', 'b', 'z', 'n:2', 1), 1)
+        assert made.ready('a') == []
+        assert [one.endpoint.server for one in made.ready('b')] == ['s']
+        assert made.nodes == 1
+
+    def test_nodes_are_counted_by_address(self):
+        made = Directory()
+        made.upsert(Endpoint('s', 'a', 'z', 'n:1', 1), 0)
+        made.upsert(Endpoint('t', 'a', 'z', 'n:1', 1), 0)
+        made.upsert(Endpoint('u', 'a', 'z', 'n:2', 1), 0)
+        assert made.nodes == 2
+        made.remove('t')
+        made.remove('u')
+        assert made.nodes == 1
