Keep slots for short urgent calls that long ones of a low rank would hold up

Ruled out: too little capacity alone (long calls took every slot whenever the urgent queue was empty for a moment).

--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -23,6 +23,8 @@
 MOST_WAITING = 512
 LEAST_SHARE = 0.2  # of the slot time, that a rank counts on at least
 USAGE_S = 1.0  # time constant in which used slot time is forgotten
+LONG_CALL = 3.0  # times the service time of a higher rank, that holds it up
+RESERVE = 1.5  # slots kept for a higher rank's short calls, to those in use
 SHORT_WAIT = 0.5  # of the service time, that is no reason to refuse
 SPREAD = 0.5  # service times above the mean for which room is left, in means
 
@@ -83,21 +85,24 @@
 
 
 class RankUsage:
-    """Slot time used by the calls of each rank of late."""
+    """Slots and calls of each rank of late; older ones count less."""
 
-    __slots__ = ('_at', '_used')
+    __slots__ = ('_at', '_calls', '_used')
 
     def __init__(self) -> None:
         """Starts without any."""
         self._used: dict[int, float] = {}
+        self._calls: dict[int, float] = {}
         self._at = 0.0
 
     def note(self, rank: int, taken: float, now: float) -> None:
-        """Adds the slot time of a call; older time counts less."""
+        """Adds the slot time of a call."""
         kept = math.exp((self._at - now) / USAGE_S)
         self._used = {one: used * kept for one, used in self._used.items()}
+        self._calls = {one: calls * kept for one, calls in self._calls.items()}
         self._at = now
         self._used[rank] = self._used.get(rank, 0.0) + taken
+        self._calls[rank] = self._calls.get(rank, 0.0) + 1
 
     def share_below(self, rank: int) -> float:
         """Returns the share of the slot time not used by higher ranks."""
@@ -107,6 +112,18 @@
         above = sum(used for one, used in self._used.items() if one < rank)
         return 1.0 - above / total
 
+    def slots_above(self, rank: int, service_s: float, now: float) -> float:
+        """Returns the slots that higher ranks use by calls far shorter.
+
+        :param service_s: service time of the calls that would hold them up
+        """
+        kept = math.exp((self._at - now) / USAGE_S) / USAGE_S
+        return kept * sum(
+            used
+            for one, used in self._used.items()
+            if one < rank and used * LONG_CALL < service_s * self._calls[one]
+        )
+
 
 class ServerGate:
     """The slots of one backend server and the calls that wait for them."""
@@ -144,7 +161,7 @@
             return Shed(Code.NO_SERVER, LEAST_WAIT_MS)
         if job.deadline_at <= now:
             return Shed(Code.DEADLINE_BEFORE_RUN, 0)
-        if len(self.running) < self.slots and not self._waiting:
+        if self._may_start(job, now) and not self._startable(now):
             self._start(job, now)
             return Started()
         if not job.may_wait or len(self._waiting) >= MOST_WAITING:
@@ -172,8 +189,8 @@
         """Starts and returns the queued calls that now have a slot."""
         started: list[Job] = []
         order = functools.partial(self._order, now=now)
-        while self._waiting and len(self.running) < self.slots:
-            job = min(self._waiting, key=order)
+        while able := self._startable(now):
+            job = min(able, key=order)
             self._waiting.remove(job)
             self._start(job, now)
             started.append(job)
@@ -204,6 +221,25 @@
             return False
         return job.target_at - now < self.pace.of(job.route)
 
+    def _startable(self, now: float) -> list[Job]:
+        if len(self.running) >= self.slots:
+            return []
+        return [one for one in self._waiting if self._may_start(one, now)]
+
+    def _may_start(self, job: Job, now: float) -> bool:
+        """Whether a slot is free that is not kept for shorter, urgent calls.
+
+        A long call of a low rank holds its slot for many short calls of a
+        higher one, which are often calls of a server whose own slot waits.
+        So it leaves free about as many slots as those have used of late.
+        """
+        if len(self.running) >= self.slots:
+            return False
+        service = self.pace.of(job.route)
+        kept = RESERVE * self.usage.slots_above(job.rank, service, now)
+        alike = sum(one.rank >= job.rank for one in self.running)
+        return not alike or alike < self.slots - kept
+
     def expected_wait(self, job: Job) -> float:
         """Returns the seconds until a new call would get a slot.
 
@@ -217,7 +253,7 @@
             for one in self._waiting
             if self._order(one, now) < own
         )
-        free = len(self.running) < self.slots
+        free = self._may_start(job, now)
         first = 0.0 if free else self.pace.overall
         share = self.usage.share_below(job.rank)
         return (ahead + first) / max(1, self.slots) / max(LEAST_SHARE, share)
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -1,9 +1,15 @@
 """The gate by rank and target: order, refusal at once, and honest waits."""
 
+import heapq
+import itertools
+import random
+
 from papayalock.core.admission import Job, ServerGate
 from papayalock.core.limits import Queued, Shed, Started
 from papayalock.result import Code
 
+NUMBERS = itertools.count()
+
 
 def job(rank: int = 2, *, now: float = 0.0, target: float = 0.3, **changes):
     fields = {
@@ -69,6 +75,90 @@
         assert one.startable(0.05) == [back]
 
 
+class TestShortUrgentCalls:
+    """Long calls of a low rank beside short ones of servers that wait."""
+
+    def test_long_calls_leave_slots_to_short_urgent_ones(self):
+        one = busy_with_short_calls(slots=6, in_use=2.0, pace=0.02)
+        long_calls = [
+            one.submit(job(route='long', target=9, deadline_at=9), 0)
+            for _ in range(6)
+        ]
+        kinds = [type(answer) for answer in long_calls]
+        assert kinds.count(Started) == 3
+        short = one.submit(job(rank=1, route='short', target=0.1), 0)
+        assert isinstance(short, Started)
+
+    def test_calls_of_like_length_share_all_slots(self):
+        one = busy_with_short_calls(slots=6, in_use=3.0, pace=0.15)
+        answers = [
+            one.submit(job(route='long', target=9, deadline_at=9), 0)
+            for _ in range(6)
+        ]
+        assert {type(answer) for answer in answers} == {Started}
+
+    def test_one_long_call_may_always_run(self):
+        one = busy_with_short_calls(slots=2, in_use=5.0, pace=0.02)
+        assert isinstance(one.submit(job(route='long'), 0), Started)
+
+    def test_slots_are_given_back_when_the_short_calls_stop(self):
+        one = busy_with_short_calls(slots=6, in_use=2.0, pace=0.02)
+        for _ in range(6):
+            one.submit(job(route='long', target=99, deadline_at=99), 0)
+        assert len(one.running) == 3
+        assert len(one.startable(4.0)) == 3
+
+    def test_play_of_a_busy_second_serves_more_of_both(self):
+        """Short calls every 9 ms and long ones every 40 ms on six slots."""
+        waits = play_short_and_long(seconds=20)
+        assert sum(one > 0.1 for one in waits) < 0.02 * len(waits)
+
+
+def busy_with_short_calls(slots: int, in_use: float, pace: float):
+    """Returns a gate whose short urgent calls used some slots of late."""
+    one = gate(slots=slots, pace=0.2)
+    one.pace.note('long', 0.2)
+    one.pace.note('short', pace)
+    one.usage.note(1, 0, 0)
+    for _ in range(int(in_use / pace)):
+        one.usage.note(1, pace, 0)
+    return one
+
+
+def play_short_and_long(seconds: float) -> list[float]:
+    """Plays arrivals on six slots; returns the short calls' waits."""
+    rng = random.Random(1)
+    one = gate(slots=6, pace=0.22)
+    service = {'short': 0.025, 'long': 0.3}
+    arrivals = []
+    for route, gap, rank in (('short', 0.009, 1), ('long', 0.04, 2)):
+        at = 0.5
+        while at < seconds:
+            at += rng.expovariate(1 / gap)
+            arrivals.append((at, next(NUMBERS), route, rank))
+    heapq.heapify(arrivals)
+    waits = []
+    while arrivals:
+        now, _, what, rank = heapq.heappop(arrivals)
+        started = []
+        if isinstance(what, Job):
+            what.served = True
+            one.finish(what, now)
+            started = one.startable(now)
+        else:
+            fresh = job(rank, now=now, route=what, target=0.6 * rank - 0.5)
+            fresh.deadline_at = now + 0.7 * rank - 0.4
+            if isinstance(one.submit(fresh, now), Started):
+                started = [fresh]
+        for ready in started:
+            taken = service[ready.route] * rng.uniform(0.5, 1.5)
+            end = (now + taken, next(NUMBERS), ready, 0)
+            heapq.heappush(arrivals, end)
+            if ready.route == 'short':
+                waits.append(now - ready.arrived)
+    return waits
+
+
 class TestRefusal:
     def test_a_call_that_would_miss_its_target_is_refused_at_once(self):
         one = gate(slots=1, pace=0.1)
