Come back sooner after all VMs restarted

The first pre-vote went out before the other could hear it, and the next came a whole election timeout later; the nodes stayed with the one control VM that had lost its disk, because the others, refused more often before, were passed over for longer.

--- a/papayalock/core/controlchoice.py
+++ b/papayalock/core/controlchoice.py
@@ -15,6 +15,7 @@
 
     __slots__ = (
         '_current',
+        '_failed_at',
         '_failures',
         '_rng',
         '_seeds',
@@ -31,6 +32,7 @@
         self._zones: dict[str, str] = dict.fromkeys(self._seeds, '')
         self._shunned: dict[str, float] = {}
         self._failures: dict[str, int] = {}
+        self._failed_at: dict[str, float] = {}
         self._current = ''
 
     @property
@@ -65,6 +67,7 @@
 
     def failed(self, address: str, now: float) -> None:
         """Notes silence, or an answer that told nothing current."""
+        self._failed_at[address] = now
         count = self._failures.get(address, 0)
         self._failures[address] = count + 1
         self._shunned[address] = now + min(SHUN_S * 2**count, MOST_SHUN_S)
@@ -79,9 +82,10 @@
             self._zones.setdefault(seed, '')
 
     def _rank(self, address: str, now: float) -> tuple[float, ...]:
+        """Returns the sort key: when all are passed over, all take turns."""
         shunned_until = self._shunned.get(address, now)
         if shunned_until > now:
-            return (1, shunned_until)
+            return (1, self._failed_at[address])
         zone = self._zones[address]
         if zone == self._zone:
             return (0, OWN_ZONE)
--- a/papayalock/core/election.py
+++ b/papayalock/core/election.py
@@ -22,6 +22,7 @@
         self._votes = {self.cfg.name}
         if pre_vote:
             self.role = 'pre_candidate'
+            self._election_at = now + self._short_wait()
         else:
             self.role = 'candidate'
             self._set_term(self.term + 1, vote=self.cfg.name)
--- a/papayalock/core/replica.py
+++ b/papayalock/core/replica.py
@@ -8,7 +8,7 @@
 
 MS = 1000  # milliseconds in a second
 PERCENT = 100
-FIRST_WAIT_SHARE = 0.25  # of the election timeout, from a start on
+SHORT_WAIT_SHARE = 0.25  # of the election timeout, before a pre-vote
 NEEDS_SNAPSHOT = -1  # index by which a replica asks for a snapshot
 PeerKind = Literal[
     'pre_vote',
@@ -202,7 +202,7 @@
         self._taken_last = self.log.last_index
         self._dirty = False
         self._effects = Effects()
-        self._election_at = now + self._first_wait()
+        self._election_at = now + self._short_wait()
         self._next_beat = now
 
     @property
@@ -298,13 +298,13 @@
             self.applied = self.commit
         return effects
 
-    def _first_wait(self) -> float:
-        """Returns the seconds from a start to the first election.
+    def _short_wait(self) -> float:
+        """Returns the seconds from a start, or a pre-vote, to the next pre-vote.
 
         A pre-vote disturbs no leader, so a group of which all VMs restarted
         need not wait for as long as one whose leader has fallen silent.
         """
-        share = FIRST_WAIT_SHARE * (1 + self._rng.random())
+        share = SHORT_WAIT_SHARE * (1 + self._rng.random())
         return self.cfg.election_ms * share / MS
 
     def _reset_election(self, now: float) -> None:
--- a/test/test_controlchoice.py
+++ b/test/test_controlchoice.py
@@ -42,12 +42,25 @@
         assert made.choose(1.9) in {'b:1', 'c:1'}
         assert made.choose(2.1) == 'a:1'
 
-    def test_when_all_are_silent_the_one_due_first_is_asked(self):
+    def test_when_all_are_silent_the_one_asked_longest_ago_is_next(self):
         made = learned()
         for at, address in enumerate(SEEDS):
             made.failed(address, at / 10)
         assert made.choose(0.25) == 'a:1'
 
+    def test_one_that_only_refuses_does_not_keep_a_node_from_the_others(self):
+        """After a restart of all, one that lost its disk may be up first."""
+        made = choice()
+        for now in (0.0, 0.05, 0.1):
+            for address in ('b:1', 'c:1'):
+                made.failed(address, now)
+        asked = []
+        for step in range(4):
+            now = 0.7 + step * 0.1
+            asked.append(made.choose(now))
+            made.failed(asked[-1], now)
+        assert set(asked) == set(SEEDS)
+
     def test_listed_peers_replace_those_that_left(self):
         made = learned()
         made.answered(
--- a/test/test_openzone.py
+++ b/test/test_openzone.py
@@ -27,11 +27,21 @@
         return
 
 
+class AgeingClock(LoopClock):
+    """A clock that a test sets forward."""
+
+    ahead = 0.0
+
+    def monotonic(self) -> float:
+        return super().monotonic() + self.ahead
+
+
 class Served:
     """An open zone on a group of one."""
 
     def __init__(self) -> None:
         self.group = make(MemoryDisk())
+        self.clock = AgeingClock()
         self.proofs = 0
         self.quorum = True
         self.zone = OpenZone(
@@ -41,7 +51,7 @@
             EndpointTable('e', 'a', 6000),
             NoJournal(),
             Admission(100, 50, random.Random(1), 0),
-            LoopClock(),
+            self.clock,
             0,
             None,
         )
@@ -88,11 +98,33 @@
     def test_without_a_proof_it_is_told_to_ask_again(self):
         async def work(served):
             served.quorum = False
+            served.clock.ahead = 10.0
             reply = await served.sync()
             return reply.code, reply.delta, reply.peers[0].address
 
         assert play(work) == (Code.NOT_PROVABLY_NEWEST, None, 'a')
 
+    def test_control_vms_that_just_started_wait_for_their_first_leader(self):
+        async def work(served):
+            served.quorum = False
+            poll = asyncio.create_task(served.sync())
+            await asyncio.sleep(0.2)
+            waiting = not poll.done()
+            served.quorum = True
+            reply = await poll
+            return waiting, reply.code
+
+        assert play(work) == (True, Code.DONE)
+
+    def test_one_that_is_no_member_yet_refuses_at_once(self):
+        async def work(served):
+            served.quorum = False
+            served.group.replica.cfg.name = 'stranger'
+            reply = await served.sync()
+            return reply.code, served.proofs
+
+        assert play(work) == (Code.NOT_PROVABLY_NEWEST, 1)
+
     def test_a_node_that_found_no_proof_anywhere_gets_what_is_held(self):
         async def work(served):
             served.quorum = False
--- a/test/test_replog.py
+++ b/test/test_replog.py
@@ -16,6 +16,23 @@
         cluster.run(2)
         assert sum(one.replica.is_leader for one in cluster.peers.values()) == 1
 
+    def test_restarted_group_elects_within_one_election_timeout(self):
+        """Two of three are back, and ask until they can hear each other."""
+        late = 0
+        for seed in range(40):
+            cluster = Cluster(ZONES, seed)
+            cluster.run(2)
+            for name in list(cluster.peers):
+                cluster.crash(name)
+                cluster.isolate(name)
+            for name in list(ZONES)[:2]:
+                cluster.start(name)
+            cluster.run(0.25)
+            cluster.heal()
+            cluster.run(0.3)
+            late += cluster.leader() is None
+        assert late <= 10  # those whose votes were split
+
     def test_no_leader_without_a_quorum(self):
         cluster = Cluster(ZONES, seed=2)
         cluster.crash('b')
