--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -20,6 +20,8 @@
 WINDOW_S = 10.0
 BUDGET_SHARE = 0.2
 BUDGET_FLOOR = 60
+FIRST_FAILURE = 400
+LOG_WRITE_S = 0.5  # longest time that a line stays in memory
 MARK = '/mark/'
 INNER = '.inner'
 SERVICES = {
@@ -236,6 +238,19 @@
         yield f'recover: {served} of {len(late)} served at the end'
 
 
+def failures_are_explained(history: History) -> Iterator[str]:
+    """Each refusal and failure has a line that names its cause.
+
+    A process that is killed takes its newest lines with it.
+    """
+    for one in history.attempts:
+        failed = one.status >= FIRST_FAILURE
+        if not failed or one.call in history.explained:
+            continue
+        if calm(history, one.node, one.sent, one.ended + LOG_WRITE_S):
+            yield f'unexplained: {one.call} got {one.status} at {one.node}'
+
+
 def processes_stay_up(history: History) -> Iterator[str]:
     """No process ends unless it was ended from outside."""
     for name in history.ended_alone:
@@ -251,6 +266,7 @@
     versions_form_one_line,
     nothing_accepted_is_lost,
     lasting_routes_are_never_denied,
+    failures_are_explained,
     processes_stay_up,
 )
 TIMED: tuple[Check, ...] = (
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -90,6 +90,7 @@
     readings: list[Reading] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
     starts: dict[str, list[float]] = field(default_factory=dict)
+    explained: set[str] = field(default_factory=set)  # calls by node logs
     ended_alone: list[str] = field(default_factory=list)
     last_label: int = 0  # as read back at the end; 0: not read
     quiet_from: float = 0.0
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -47,6 +47,8 @@
         world.stop()
     history.ended_alone = world.ended_alone
     _read_book(folder / 'book.jsonl', history)
+    for node in world.nodes:
+        _read_log(folder / f'{node}.log', history)
     _keep(folder, faults, history)
     served = sum(one.served for one in history.attempts)
     accepted = sum(one.acked is not None for one in history.publications)
@@ -117,6 +119,18 @@
     history.drains = [Drain(*pair) for pair in acked.items()]
 
 
+def _read_log(path: Path, history: History) -> None:
+    """Takes in the calls whose refusal or failure a node explains."""
+    for line in path.read_text(errors='replace').splitlines():
+        try:
+            entry = json.loads(line)
+        except ValueError:
+            continue
+        named = entry.get('reason') or entry.get('status')
+        if named and 'call' in entry:
+            history.explained.add(entry['call'])
+
+
 def _keep(folder: Path, faults: list[Fault], history: History) -> None:
     """Writes down what was done and seen, for tracing."""
     lines = [
@@ -124,5 +138,5 @@
         for one in faults
     ]
     (folder / 'faults.txt').write_text('\n'.join(lines))
-    kept = json.dumps(asdict(history))
+    kept = json.dumps(asdict(history), default=sorted)
     (folder / 'history.json').write_text(kept)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -46,6 +46,7 @@
 def history(attempts, runs=None, **more):
     if runs is None:
         runs = [run_of(one) for one in attempts if one.served]
+    more.setdefault('explained', {one.call for one in attempts})
     return History(['control-a'], attempts, runs, quiet_from=200.0, **more)
 
 
@@ -249,6 +250,13 @@
         ]
         assert first_words(history(late, [])) == {'recover'}
 
+    def test_failure_without_a_line(self):
+        one = attempt(status=503, code=int(Code.SHED))
+        found = history([one], explained=set())
+        assert first_words(found) == {'unexplained'}
+        found.spans.append(Span('node-a', 100.2, 100.2))
+        assert not checks.broken(found)
+
     def test_process_that_ended(self):
         found = history([], ended_alone=['node-a (1)'])
         assert first_words(found) == {'ended'}
