--- a/papayalock/core/placing.py
+++ b/papayalock/core/placing.py
@@ -6,7 +6,7 @@
 """
 
 from papayalock.core.directory import Directory, Peer
-from papayalock.messages import Endpoint, ServerLoad
+from papayalock.messages import ServerLoad
 from papayalock.ports import Random
 from papayalock.result import Code
 
@@ -14,7 +14,10 @@
 FIRST_GUESS_S = 0.1  # service time of a server before any is known
 LOAD_LASTS_S = 1.0  # age at which what others have under way is forgotten
 NEAR_S = 0.001  # cost of a hop within the availability zone
-FAR_S = 0.05  # cost of a hop to another one, with the bytes that it carries
+FAR_S = 0.02  # cost of a hop to another one, but for the bytes it carries
+FAR_S_PER_KB = 0.06  # bytes between zones are paid for and delay other calls
+KB = 1024  # bytes
+SIZE_SMOOTHING = 0.05  # weight of the newest answer's size in its average
 CLOSE_CALL = 1.1  # estimates within this ratio of the best are taken alike
 BUSY_WEIGHT = 0.2  # a server whose slots are all in use runs so much slower
 FAILING_WEIGHT = 6.0  # slows a server down by its share of failed calls
@@ -35,16 +38,22 @@
         :param own_address: where this node takes calls for its own server
         """
         super().__init__()
+        self._sizes: dict[str, float] = {}
         self._zone = zone
         self._own = own_address
         self._rng = rng
 
     def choose(
-        self, service: str, now: float, avoid: frozenset[str] = NONE_TRIED
+        self,
+        service: str,
+        now: float,
+        avoid: frozenset[str] = NONE_TRIED,
+        route: str = '',
     ) -> Peer | None:
         """Returns the server for a call, or None when there is none to try.
 
         :param avoid: servers that this call has already tried
+        :param route: route of the call, whose answers may be long
         """
         ready = [
             one
@@ -55,7 +64,10 @@
         if not usable:
             return self._least_shunned(ready, now)
         typical = self._typical_pace(usable)
-        costs = [(self._cost(one, typical, now), one) for one in usable]
+        costs = [
+            (self._cost(one, typical, now) + self._distance(one, route), one)
+            for one in usable
+        ]
         best = min(cost for cost, _ in costs)
         near = [one for cost, one in costs if cost <= best * CLOSE_CALL]
         return near[self._rng.randrange(len(near))]
@@ -75,6 +87,11 @@
         elif code in SILENT or code.unknown:
             self._failed(peer, code, now)
 
+    def answered(self, route: str, size: int) -> None:
+        """Notes the bytes of an answer."""
+        known = self._sizes.get(route, size)
+        self._sizes[route] = known + SIZE_SMOOTHING * (size - known)
+
     def reported(self, peer: Peer, load: ServerLoad, now: float) -> None:
         """Takes in the load that an answer carried."""
         peer.load = load
@@ -113,13 +130,15 @@
         jobs = _jobs(peer, now)
         wait = max(0.0, jobs + 1 - slots) / slots * pace
         run = pace * (1 + BUSY_WEIGHT * min(1.0, jobs / slots))
-        slowed = (wait + run) * (1 + FAILING_WEIGHT * failing)
-        return slowed + self._distance(peer.endpoint)
+        return (wait + run) * (1 + FAILING_WEIGHT * failing)
 
-    def _distance(self, endpoint: Endpoint) -> float:
-        if endpoint.address == self._own:
+    def _distance(self, peer: Peer, route: str) -> float:
+        """Returns what the way to a server costs, in seconds."""
+        if peer.endpoint.address == self._own:
             return 0.0
-        return NEAR_S if endpoint.zone == self._zone else FAR_S
+        if peer.endpoint.zone == self._zone:
+            return NEAR_S
+        return FAR_S + FAR_S_PER_KB * self._sizes.get(route, 0.0) / KB
 
 
 def _jobs(peer: Peer, now: float) -> float:
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -195,14 +195,15 @@
     ) -> Peer | None:
         """Returns the server to ask; when none is left, one to wait for."""
         now = self._clock.monotonic()
+        service, route = plan.service, plan.route.name
         if not course.waited:
-            peer = self._placement.choose(plan.service, now, tried)
+            peer = self._placement.choose(service, now, tried, route)
             if peer is not None:
                 return peer
         if course.runs:
-            return self._placement.choose(plan.service, now, tried)
+            return self._placement.choose(service, now, tried, route)
         course.waited = True
-        return self._placement.choose(plan.service, now)
+        return self._placement.choose(service, now, route=route)
 
     def _step(
         self,
@@ -249,6 +250,9 @@
             code = Code.DONE
             if isinstance(outcome, NoAnswer):
                 code = outcome.code
+            else:
+                size = len(outcome.body)
+                self._placement.answered(plan.route.name, size)
         except asyncio.CancelledError:
             code = Code.DEADLINE_BEFORE_RUN
             raise
--- a/test/test_placing.py
+++ b/test/test_placing.py
@@ -141,6 +141,27 @@
         assert made.peers['x'].load is None
 
 
+class TestDistance:
+    def test_long_answers_stay_in_the_zone_while_that_costs_little(self):
+        made = placement(endpoint('near'), endpoint('far', zone='z2'))
+        load(made, 'near', 120)
+        load(made, 'far', 60)
+        for _ in range(100):
+            made.answered('long', 5000)
+            made.answered('short', 300)
+        long_one = made.choose('floor', 0, route='long')
+        short_one = made.choose('floor', 0, route='short')
+        assert long_one.endpoint.server == 'near'
+        assert short_one.endpoint.server == 'far'
+
+    def test_a_queue_in_the_zone_sends_long_answers_away_too(self):
+        made = placement(endpoint('near'), endpoint('far', zone='z2'))
+        load(made, 'near', 120, jobs=16)
+        load(made, 'far', 120)
+        made.answered('long', 5000)
+        assert made.choose('floor', 0, route='long').endpoint.server == 'far'
+
+
 class TestDirectory:
     def test_a_server_that_changes_its_service_is_listed_once(self):
         made = Directory()
