Model member changes after a lost disk, proved reads and open zones

The first members model replaced a voter in one step and failed: {0, 2} and {1, 3} share no name. The code takes two changes, the second after the first is committed (change_allowed); the single step is kept as a mutant.

--- a/models/check.py
+++ b/models/check.py
@@ -40,6 +40,11 @@
             'NO_PEER_NEEDED',
         ),
     ),
+    Case('reads', (), ('NO_CONFIRM', 'EARLY_CONFIRM', 'NO_TERM_START')),
+    Case('openzone', (), ('NO_VERSION_CHECK', 'ANSWER_BEFORE_ENTRY', 'NO_PROOF')),
+    Case(
+        'members', (), ('SAME_NAME', 'CHANGE_OUTSIDE_LOG', 'REPLACE_AT_ONCE')
+    ),
     Case(
         'accept',
         (),
