Take a deployment's own retry budget, which need not be a whole number

Cause: on the small twins of the grown deployments every node ended at its start, since their floor is a fraction and the setting took whole numbers only.

--- a/papayalock/core/budget.py
+++ b/papayalock/core/budget.py
@@ -7,7 +7,6 @@
 
 from collections import deque
 
-PERCENT = 100
 SAFETY = 0.7  # part of the share spent; the calls of a repeated run repeat too
 
 
@@ -38,14 +37,14 @@
 
     __slots__ = ('_calls', '_floor', '_repeats', '_share')
 
-    def __init__(self, window_ms: int, percent: int, floor: int) -> None:
+    def __init__(self, window_ms: int, share: float, floor: float) -> None:
         """Starts unspent.
 
-        :param percent: repeats per hundred calls, over all nodes
+        :param share: repeats to calls, over all nodes
         :param floor: repeats in a window whatever the calls, over all nodes
         """
         window_s = window_ms / 1000
-        self._share = percent / PERCENT * SAFETY
+        self._share = share * SAFETY
         self._floor = floor
         self._calls = SlidingCount(window_s)
         self._repeats = SlidingCount(window_s)
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -349,7 +349,7 @@
         if budget is None:
             retry = self._settings.retry
             budget = SharedBudget(
-                retry.window_ms, retry.window_percent, retry.window_floor
+                retry.window_ms, retry.window_share, retry.window_floor
             )
             self._budgets[service] = budget
         return budget
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -133,8 +133,8 @@
     budget_floor: Annotated[int, Meta(ge=0, le=1000)]
     backoff_ms: Annotated[int, Meta(ge=0, le=60000)]
     window_ms: Annotated[int, Meta(ge=100, le=600000)]
-    window_percent: Annotated[int, Meta(ge=0, le=100)]
-    window_floor: Annotated[int, Meta(ge=0, le=1000000)]
+    window_share: Annotated[float, Meta(ge=0.0, le=1.0)]
+    window_floor: Annotated[float, Meta(ge=0.0, le=1000000.0)]
 
 
 class ClaimSettings(Struct):
--- a/test/test_budget.py
+++ b/test/test_budget.py
@@ -8,7 +8,7 @@
 
 
 def budget(floor: int = 60) -> SharedBudget:
-    return SharedBudget(window_ms=10_000, percent=20, floor=floor)
+    return SharedBudget(window_ms=10_000, share=0.2, floor=floor)
 
 
 class TestBudget:
