--- a/bench/loadmodel/model.py
+++ b/bench/loadmodel/model.py
@@ -27,6 +27,7 @@
 FAR_S = 0.0014  # one way to another zone
 CALLER_S = 0.003  # one way between a caller and its node
 CANDIDATES = 5
+HOP_BYTES = 1200  # headers of a hop and of its answer
 MOST_RUNS = 2
 WINDOW_MS = 10_000
 BUDGET_SHARE = 0.2
@@ -64,6 +65,7 @@
     by_zone: dict[str, Tally] = field(default_factory=dict)
     by_second: dict[int, Tally] = field(default_factory=dict)
     far_bytes: int = 0
+    asks: int = 0  # servers asked, with or without success
     idle_refusals: int = 0  # refusals while a server of the service was idle
 
     def tallies(self, kind: str, zone: str, second: int) -> list[Tally]:
@@ -308,12 +310,15 @@
     ) -> Peer | None:
         """Returns the server to ask; when none is left, one to wait for."""
         now = self.env.now
-        if not course.waited or course.runs:
-            peer = node.placement.choose(kind.service, now, tried, kind.name)
-            if peer is not None or course.runs:
+        service, route = kind.service, kind.name
+        if not course.waited:
+            peer = node.placement.choose_free(service, now, tried, route)
+            if peer is not None:
                 return peer
+        if course.runs:
+            return node.placement.choose(service, now, tried, route)
         course.waited = True
-        return node.placement.choose(kind.service, now, route=kind.name)
+        return node.placement.choose(service, now, route=route)
 
     def _try(self, kind: Kind, node: Node, peer: Peer, job: Job) -> Process:
         server = self._named(peer.endpoint.server)
@@ -333,6 +338,9 @@
         if server is node.server:
             away = 0.0
         yield self.env.timeout(away)
+        self.figures.asks += 1
+        if away == FAR_S:
+            self.figures.far_bytes += HOP_BYTES
         job.arrived = self.env.now
         shed: Shed | None = yield from server.enter(job)
         if shed is not None:
--- a/bench/loadmodel/plain.py
+++ b/bench/loadmodel/plain.py
@@ -32,6 +32,8 @@
         ]
         return self.rng.choice(able) if able else None
 
+    choose_free = choose
+
 
 class FifoGate(ServerGate):
     """A short queue in the order of arrival."""
--- a/papayalock/core/placing.py
+++ b/papayalock/core/placing.py
@@ -13,9 +13,10 @@
 MS = 1000  # milliseconds in a second
 FIRST_GUESS_S = 0.1  # service time of a server before any is known
 LOAD_LASTS_S = 1.0  # age at which what others have under way is forgotten
+FRESH_S = 0.25  # age up to which a report of full slots is believed
 NEAR_S = 0.001  # cost of a hop within the availability zone
-FAR_S = 0.02  # cost of a hop to another one, but for the bytes it carries
-FAR_S_PER_KB = 0.06  # bytes between zones are paid for and delay other calls
+FAR_S = 0.05  # cost of a hop to another one, with its headers
+FAR_S_PER_KB = 0.06  # of the answer; bytes between zones are paid for
 KB = 1024  # bytes
 SIZE_SMOOTHING = 0.05  # weight of the newest answer's size in its average
 CLOSE_CALL = 1.1  # estimates within this ratio of the best are taken alike
@@ -63,6 +64,30 @@
         usable = [one for one in ready if one.shunned_until <= now]
         if not usable:
             return self._least_shunned(ready, now)
+        return self._best(usable, route, now)
+
+    def choose_free(
+        self,
+        service: str,
+        now: float,
+        avoid: frozenset[str] = NONE_TRIED,
+        route: str = '',
+    ) -> Peer | None:
+        """Returns a server that may have a free slot, or None.
+
+        One that was full a moment ago is not asked again: under overload that
+        would cost a message for each call and server.
+        """
+        free = [
+            one
+            for one in self.ready(service)
+            if one.endpoint.server not in avoid
+            and one.shunned_until <= now
+            and _may_be_free(one, now)
+        ]
+        return self._best(free, route, now) if free else None
+
+    def _best(self, usable: list[Peer], route: str, now: float) -> Peer:
         typical = self._typical_pace(usable)
         costs = [
             (self._cost(one, typical, now) + self._distance(one, route), one)
@@ -147,6 +172,13 @@
     return peer.in_flight + peer.others * max(0.0, 1 - age / LOAD_LASTS_S)
 
 
+def _may_be_free(peer: Peer, now: float) -> bool:
+    """Whether a server has a free slot, or too little is known to say."""
+    if peer.load is None or now - peer.load_at > FRESH_S:
+        return True
+    return _jobs(peer, now) < _slots(peer)
+
+
 def _slots(peer: Peer) -> int:
     reported = peer.load.slots if peer.load else 0
     return max(1, peer.endpoint.slots or reported)
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -41,7 +41,8 @@
 log = logging.getLogger(__name__)
 
 MS = 1000  # milliseconds in a second
-NOT_READY_RETRY_MS = 300  # wait before a node without routes is asked again
+NOT_READY_RETRY_MS = 300  # wait before a node is asked again
+NO_ROUTES_RETRY_MS = 800  # the same for one that has just started
 RETURNING_SHARE = 0.95  # of the usual deadline; with less a caller came back
 MARGIN_S = 0.002  # left for the way back of an answer
 _LOAD = msgspec.json.Decoder(ServerLoad)
@@ -111,7 +112,7 @@
             return NoAnswer(Code.DRAINING, 'the node stops', NOT_READY_RETRY_MS)
         if not self._agent.configuration.version:
             return NoAnswer(
-                Code.NOT_CONFIGURED, 'no routes yet', NOT_READY_RETRY_MS
+                Code.NOT_CONFIGURED, 'no routes yet', NO_ROUTES_RETRY_MS
             )
         host = call.header(b'host').decode('latin-1').lower()
         path = call.target.split(b'?', 1)[0].decode('latin-1')
@@ -197,7 +198,7 @@
         now = self._clock.monotonic()
         service, route = plan.service, plan.route.name
         if not course.waited:
-            peer = self._placement.choose(service, now, tried, route)
+            peer = self._placement.choose_free(service, now, tried, route)
             if peer is not None:
                 return peer
         if course.runs:
