--- a/bench/loadmodel/model.py
+++ b/bench/loadmodel/model.py
@@ -343,8 +343,8 @@
         away = 0.0
         far = server.zone != node.zone
         if server is not node.server:
-            busy = self.rng.expovariate(MS / self._scenario.hop_ms)
-            away = busy + (FAR_S if far else NEAR_S)
+            away = FAR_S if far else NEAR_S
+            away += self.rng.expovariate(MS / self._scenario.hop_ms)
         yield self.env.timeout(away)
         self.figures.asks += 1
         self.figures.far_bytes += far * HOP_BYTES
