--- a/models/check.py
+++ b/models/check.py
@@ -41,10 +41,10 @@
         ),
     ),
     Case('reads', (), ('NO_CONFIRM', 'EARLY_CONFIRM', 'NO_TERM_START')),
-    Case('openzone', (), ('NO_VERSION_CHECK', 'ANSWER_BEFORE_ENTRY', 'NO_PROOF')),
     Case(
-        'members', (), ('SAME_NAME', 'CHANGE_OUTSIDE_LOG', 'REPLACE_AT_ONCE')
+        'openzone', (), ('NO_VERSION_CHECK', 'ANSWER_BEFORE_ENTRY', 'NO_PROOF')
     ),
+    Case('members', (), ('SAME_NAME', 'CHANGE_OUTSIDE_LOG', 'REPLACE_AT_ONCE')),
     Case(
         'accept',
         (),
