--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -30,10 +30,13 @@
 class World:
     """Starts, disturbs and ends the processes."""
 
-    def __init__(self, folder: Path, servers: dict[str, str]) -> None:
+    def __init__(
+        self, folder: Path, servers: dict[str, str], *, linked: bool = True
+    ) -> None:
         """Chooses names and addresses; nothing runs yet.
 
         :param servers: service by name of each backend server
+        :param linked: whether processes reach each other through links
         """
         self.folder = folder
         self.links = Links()
@@ -52,6 +55,8 @@
         }
         self._seen = {
             name: self.links.add('', name, address).address
+            if linked
+            else address
             for name, address in self._listen.items()
         }
 
@@ -60,6 +65,10 @@
         """The names of the nodes."""
         return [f'node-{name}' for name in self._servers]
 
+    def address(self, name: str) -> str:
+        """Returns where a process really listens."""
+        return self._listen[name]
+
     @property
     def seeds(self) -> list[str]:
         """The addresses of the control VMs."""
