Decide once whom a call asks: the load model calls the node's own choice

Cause: reading the change again. Outbound._choose and the load model's copy of it held the same decision, so the model drove a copy of the code that it is there to judge; two choices of Placement filtered the tried servers each for itself; a simulated server kept a flag that its slowness tells. Now core/again.next_server serves both, Placement._untried both choices. Lint, types and all tests pass.

--- a/bench/loadmodel/model.py
+++ b/bench/loadmodel/model.py
@@ -14,7 +14,13 @@
 from bench.loadmodel.scenario import Kind, Loss, Scenario
 from bench.loadmodel.servers import Process, Server
 from papayalock.core.admission import Job, ServerGate
-from papayalock.core.again import ASK_SHARE, Course, Step, next_step
+from papayalock.core.again import (
+    ASK_SHARE,
+    Course,
+    Step,
+    next_server,
+    next_step,
+)
 from papayalock.core.budget import SharedBudget
 from papayalock.core.directory import Peer
 from papayalock.core.limits import Shed
@@ -193,11 +199,9 @@
         hit = [one for one in self.servers if one.service == loss.service]
         for server in hit[: loss.count]:
             server.slower = loss.slower
-            server.disturbed = True
         yield self.env.timeout(loss.for_s)
         for server in hit[: loss.count]:
             server.slower = 1.0
-            server.disturbed = False
 
     # Callers.
 
@@ -280,7 +284,14 @@
         outcome = Outcome(good=False, refused=True, retry_after_s=0.3)
         step = Step.ASK_ANOTHER
         while step is not Step.GIVE_UP:
-            peer = self._choose(kind, node, course, tried)
+            peer = next_server(
+                node.placement,
+                course,
+                kind.service,
+                kind.name,
+                tried,
+                self.env.now,
+            )
             if peer is None:
                 break
             tried |= {peer.endpoint.server}
@@ -311,21 +322,6 @@
         self._note_idle(kind, outcome)
         return outcome
 
-    def _choose(
-        self, kind: Kind, node: Node, course: Course, tried: frozenset[str]
-    ) -> Peer | None:
-        """Returns the server to ask; when none is left, one to wait for."""
-        now = self.env.now
-        service, route = kind.service, kind.name
-        if not course.waited:
-            peer = node.placement.choose_free(service, now, tried, route)
-            if peer is not None:
-                return peer
-        if course.runs:
-            return node.placement.choose(service, now, tried, route)
-        course.waited = True
-        return node.placement.choose(service, now, route=route)
-
     def _try(self, kind: Kind, node: Node, peer: Peer, job: Job) -> Process:
         server = self._named(peer.endpoint.server)
         node.placement.started(peer)
--- a/bench/loadmodel/servers.py
+++ b/bench/loadmodel/servers.py
@@ -32,11 +32,15 @@
         self.zone = zone
         self.speed = speed
         self.slower = 1.0
-        self.disturbed = False
         self.gate = gate
         self._env = env
         self._waiting: dict[Job, simpy.Event] = {}
 
+    @property
+    def disturbed(self) -> bool:
+        """Whether the server is slower than usual, or gone."""
+        return self.slower > 1
+
     def enter(self, job: Job) -> Process:
         """Waits for a slot; returns the refusal, or None once there is one."""
         answer = self.gate.submit(job, self._env.now)
--- a/papayalock/core/again.py
+++ b/papayalock/core/again.py
@@ -1,9 +1,11 @@
-"""Decides what follows a try of a host-routed call that gave no good answer."""
+"""Decides whom a host-routed call asks, and what follows a try without a good answer."""
 
 from dataclasses import dataclass
 from enum import Enum
 
 from papayalock.core.budget import SharedBudget
+from papayalock.core.directory import Peer
+from papayalock.core.placing import Placement
 from papayalock.result import Code
 
 
@@ -43,6 +45,25 @@
     waited: bool = False  # whether a node was asked to let the call wait
 
 
+def next_server(
+    placement: Placement,
+    course: Course,
+    service: str,
+    route: str,
+    tried: frozenset[str],
+    now: float,
+) -> Peer | None:
+    """Returns the server to ask; when none is left, one to wait for."""
+    if not course.waited:
+        peer = placement.choose_free(service, now, tried, route)
+        if peer is not None:
+            return peer
+    if course.runs:
+        return placement.choose(service, now, tried, route)
+    course.waited = True
+    return placement.choose(service, now, route=route)
+
+
 def next_step(
     course: Course,
     code: Code,
--- a/papayalock/core/placing.py
+++ b/papayalock/core/placing.py
@@ -56,11 +56,7 @@
         :param avoid: servers that this call has already tried
         :param route: route of the call, whose answers may be long
         """
-        ready = [
-            one
-            for one in self.ready(service)
-            if one.endpoint.server not in avoid
-        ]
+        ready = self._untried(service, avoid)
         usable = [one for one in ready if one.shunned_until <= now]
         if not usable:
             return self._least_shunned(ready, now)
@@ -79,13 +75,18 @@
         would cost a message for each call and server.
         """
         free = [
+            one
+            for one in self._untried(service, avoid)
+            if one.shunned_until <= now and _may_be_free(one, now)
+        ]
+        return self._best(free, route, now) if free else None
+
+    def _untried(self, service: str, avoid: frozenset[str]) -> list[Peer]:
+        return [
             one
             for one in self.ready(service)
             if one.endpoint.server not in avoid
-            and one.shunned_until <= now
-            and _may_be_free(one, now)
         ]
-        return self._best(free, route, now) if free else None
 
     def _best(self, usable: list[Peer], route: str, now: float) -> Peer:
         typical = self._typical_pace(usable)
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -5,7 +5,13 @@
 
 import msgspec
 
-from papayalock.core.again import ASK_SHARE, Course, Step, next_step
+from papayalock.core.again import (
+    ASK_SHARE,
+    Course,
+    Step,
+    next_server,
+    next_step,
+)
 from papayalock.core.budget import SharedBudget
 from papayalock.core.hosts import Splitter
 from papayalock.core.directory import Peer
@@ -177,7 +183,14 @@
         kept: Outcome | None = None
         step = Step.ASK_ANOTHER
         while step is not Step.GIVE_UP:
-            peer = self._choose(plan, course, tried)
+            peer = next_server(
+                self._placement,
+                course,
+                plan.service,
+                plan.route.name,
+                tried,
+                self._clock.monotonic(),
+            )
             if peer is None:
                 break
             tried = tried | {peer.endpoint.server}
@@ -192,21 +205,6 @@
             NOT_READY_RETRY_MS,
         )
 
-    def _choose(
-        self, plan: Plan, course: Course, tried: frozenset[str]
-    ) -> Peer | None:
-        """Returns the server to ask; when none is left, one to wait for."""
-        now = self._clock.monotonic()
-        service, route = plan.service, plan.route.name
-        if not course.waited:
-            peer = self._placement.choose_free(service, now, tried, route)
-            if peer is not None:
-                return peer
-        if course.runs:
-            return self._placement.choose(service, now, tried, route)
-        course.waited = True
-        return self._placement.choose(service, now, route=route)
-
     def _step(
         self,
         plan: Plan,
