--- a/papayalock/node/calljournal.py
+++ b/papayalock/node/calljournal.py
@@ -14,6 +14,7 @@
 from papayalock.node.hostagent import HostAgent
 from papayalock.node.hostmetrics import HostMetrics
 from papayalock.node.http import Call
+from papayalock.node.lag import LoopLag
 from papayalock.node.outcome import Answered, NoAnswer, Outcome
 from papayalock.ports import Clock
 from papayalock.result import Code
@@ -96,6 +97,7 @@
         agent: HostAgent,
         clock: Clock,
         metrics: HostMetrics,
+        lag: LoopLag,
         sample: int,
     ) -> None:
         """Binds the parts.
@@ -105,6 +107,7 @@
         self._agent = agent
         self._clock = clock
         self._metrics = metrics
+        self._lag = lag
         self._sample = sample
         self._good = 0
 
@@ -159,6 +162,7 @@
             'returning': plan.returning,
             'budget_left': round(budget.left(now, nodes), 1),
             'nodes': nodes,
+            'loop_lag_ms': self._lag.worst_ms(now),
             'tries': [one.fields(now) for one in plan.trail],
         }
         if isinstance(outcome, NoAnswer):
--- a/papayalock/node/hostmetrics.py
+++ b/papayalock/node/hostmetrics.py
@@ -5,6 +5,8 @@
 from papayalock.core.admission import ServerGate
 from papayalock.node.hostagent import HostAgent
 from papayalock.node.http import Call, Reply
+from papayalock.node.lag import LoopLag
+from papayalock.ports import Clock
 from papayalock.result import Code
 from papayalock.settings import Settings
 
@@ -29,10 +31,14 @@
     from what a caller sends.
     """
 
-    def __init__(self, agent: HostAgent, gate: ServerGate) -> None:
+    def __init__(
+        self, agent: HostAgent, gate: ServerGate, lag: LoopLag, clock: Clock
+    ) -> None:
         """Starts at zero."""
         self._agent = agent
         self._gate = gate
+        self._lag = lag
+        self._clock = clock
         self._registry = Registry()
         self._calls = Counter(
             'papayalock_calls_total',
@@ -72,6 +78,7 @@
             'leaving': int(agent.watch.leaving()),
             'stopping': int(agent.stopping),
             'control_errors': agent.errors,
+            'loop_lag_ms': self._lag.worst_ms(self._clock.monotonic()),
         }
         for name, current in gauges.items():
             self._gauges.set({'what': name}, current)
--- a/papayalock/node/hostsmain.py
+++ b/papayalock/node/hostsmain.py
@@ -20,6 +20,7 @@
 from papayalock.node.hostmetrics import HostMetrics, metrics_address
 from papayalock.node.http import Call, Reply
 from papayalock.node.inbound import Inbound
+from papayalock.node.lag import LoopLag
 from papayalock.node.listener import Server, ServerLimits
 from papayalock.node.outbound import Outbound
 from papayalock.pool import Pool
@@ -81,7 +82,8 @@
             margin_ms=settings.distribution.margin_ms,
         )
         gate = ServerGate()
-        self.metrics = HostMetrics(self.agent, gate)
+        self.lag = LoopLag(SWEEP_S)
+        self.metrics = HostMetrics(self.agent, gate, self.lag, clock)
         self.inbound = Inbound(
             self.watch,
             JobQueue[Job](gate, clock),
@@ -90,6 +92,7 @@
             dialects.calls,
             clock,
             hosts.alive_ms,
+            self.lag,
         )
         self.outbound = Outbound(
             settings,
@@ -99,6 +102,7 @@
             dialects.calls,
             clock,
             self.metrics,
+            self.lag,
         )
         self.announcer = Announcer(
             dialects.announcements,
@@ -199,6 +203,7 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(SWEEP_S)
+            self.lag.note(self._clock.monotonic())
             self.callers.sweep(loop.time())
             self.inbound.refit()
 
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -1,5 +1,6 @@
 """The gate in front of the backend server beside this node."""
 
+import asyncio
 import logging
 from dataclasses import replace
 
@@ -12,6 +13,7 @@
 from papayalock.node.alive import SignsOfLife
 from papayalock.node.gate import JobQueue, Refused, Slot
 from papayalock.node.http import OUTCOME_HEADER, Call, Reply
+from papayalock.node.lag import LoopLag
 from papayalock.node.outcome import SERVER_ERROR, Answered, NoAnswer, Outcome
 from papayalock.node.trip import HOP_BY_HOP, LOAD_HEADER
 from papayalock.pool import Pool
@@ -52,6 +54,7 @@
         dialect: CallDialect,
         clock: Clock,
         alive_ms: int,
+        lag: LoopLag,
     ) -> None:
         """Binds the parts.
 
@@ -64,6 +67,7 @@
         self._dialect = dialect
         self._clock = clock
         self._alive_ms = alive_ms
+        self._lag = lag
         self.callee_failures = 0
 
     def refit(self) -> None:
@@ -120,6 +124,9 @@
             if order.may_wait:
                 self._log_refusal(order, exc)
             return NoAnswer(exc.code, 'no slot in time', exc.retry_after_ms)
+        except asyncio.CancelledError:
+            self._log_abandoned(order, job)
+            raise
 
     async def _send(
         self, order: HopOrder, call: Call, serving: Announcement, job: Job
@@ -198,6 +205,24 @@
             },
         )
 
+    def _log_abandoned(self, order: HopOrder, job: Job) -> None:
+        """Tells how far a call had come that nobody waits for any more."""
+        now = self._clock.monotonic()
+        began = job.started or now
+        log.info(
+            'call abandoned',
+            extra={
+                'call': order.call,
+                'server': order.server,
+                'route': order.route,
+                'rank': order.rank,
+                'waited_ms': round((began - job.arrived) * MS, 1),
+                'ran_ms': round((now - began) * MS, 1),
+                'left_ms': round((job.deadline_at - now) * MS),
+                'loop_lag_ms': self._lag.worst_ms(now),
+            },
+        )
+
     def _judge(self, outcome: Outcome, job: Job) -> None:
         if isinstance(outcome, Answered):
             job.served = outcome.status < SERVER_ERROR
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -30,6 +30,7 @@
     ORDER_HEADER,
     Inbound,
 )
+from papayalock.node.lag import LoopLag
 from papayalock.node.outcome import (
     Answered,
     NoAnswer,
@@ -66,6 +67,7 @@
         dialect: CallDialect,
         clock: Clock,
         metrics: HostMetrics,
+        lag: LoopLag,
     ) -> None:
         """Binds the parts."""
         self._settings = settings
@@ -82,7 +84,9 @@
         self._budgets: dict[str, SharedBudget] = {}
         self._usual_deadline: dict[str, int] = {}
         self._background: set[asyncio.Task[Outcome]] = set()
-        self._journal = CallJournal(agent, clock, metrics, settings.log.sample)
+        self._journal = CallJournal(
+            agent, clock, metrics, lag, settings.log.sample
+        )
 
     async def handle(self, call: Call, reply: Reply) -> None:
         """Answers one call."""
--- a/test/test_inbound.py
+++ b/test/test_inbound.py
@@ -11,6 +11,7 @@
 from papayalock.node.gate import JobQueue
 from papayalock.node.http import Call
 from papayalock.node.inbound import Inbound
+from papayalock.node.lag import LoopLag
 from papayalock.node.outcome import Answered, NoAnswer
 from papayalock.result import Code
 from test.test_dispatch import FakePool
@@ -59,6 +60,7 @@
             NativeCalls(),
             self.clock,
             60,
+            LoopLag(0.25),
         )
         self.inbound.refit()
 
@@ -144,6 +146,23 @@
         assert (own.callee_failed, below.callee_failed) == (False, True)
         assert 0 < failing < 0.2
 
+    def test_a_call_that_is_taken_back_leaves_a_line(self, caplog):
+        async def play():
+            side = Side()
+            task = asyncio.create_task(side.run())
+            await asyncio.sleep(0)
+            side.clock.now += 0.2
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return side
+
+        with caplog.at_level('INFO'):
+            side = asyncio.run(play())
+        line = caplog.records[-1]
+        assert line.message == 'call abandoned'
+        assert (line.call, line.waited_ms, line.ran_ms) == ('c', 0, 200)
+        assert not side.gate.running
+
     def test_an_order_that_cannot_be_read_is_refused(self):
         class Refusals:
             def __init__(self) -> None:
