--- /dev/null
+++ b/test/test_outbound.py
@@ -0,0 +1,241 @@
+"""A host-routed call at its own node: tries, silence and what ends a call."""
+
+import asyncio
+import random
+
+from papayalock.config import make_settings
+from papayalock.core.placing import Placement
+from papayalock.native import CALL_HEADER, REMAINING_HEADER, NativeCalls
+from papayalock.node.http import Call
+from papayalock.node.lag import LoopLag
+from papayalock.node.outbound import Outbound
+from papayalock.node.outcome import Answered, NoAnswer
+from papayalock.result import Code
+from papayalock.wire import ClientConn
+from test.test_hosts import table
+from test.test_placing import endpoint
+from test.test_routebook import route
+from test.wires import FakeTransport, FastLoop, LoopClock
+
+LOAD = b'papayalock-load: {"jobs":1,"slots":4,"pace_ms":50.0,"failing":0.0}'
+GOOD = (
+    b'HTTP/1.1 200 OK\r\npapayalock-outcome: 0 DONE\r\n'
+    + LOAD
+    + b'\r\ncontent-length: 2\r\n\r\nhi'
+)
+FAILED = GOOD.replace(b'200 OK', b'500 X')
+SHED = (
+    b'HTTP/1.1 503 X\r\npapayalock-outcome: 103 SHED\r\n'
+    b'papayalock-arrived: 0\r\nretry-after: 50\r\n'
+    + LOAD
+    + b'\r\ncontent-length: 0\r\n\r\n'
+)
+SIGN = b'HTTP/1.1 102 Processing\r\n\r\n'
+SILENCE_S = 0.24
+
+
+Script = list[tuple[float, bytes | None]]
+
+
+class FarConn(ClientConn):
+    """A connection to another node, which writes what the test says."""
+
+    def __init__(self, script: Script) -> None:
+        super().__init__()
+        self.script = script
+        self.sent = b''
+        self.connection_made(FakeTransport())
+
+    def _write(self, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        for after_s, answer in [] if self.sent else self.script:
+            if answer is None:
+                loop.call_later(after_s, self.connection_lost, None)
+            else:
+                loop.call_later(after_s, self._arrive, answer)
+        self.sent += data
+
+    def _arrive(self, answer: bytes) -> None:
+        if not self.closed:
+            self.data_received(answer)
+
+
+class FarNodes:
+    """A pool whose connections play their scripts in the order of use."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self.scripts = scripts
+        self.names = [f'n{number}' for number, _ in enumerate(scripts)]
+        self.asked: list[str] = []
+        self.conns: list[FarConn] = []
+
+    async def take(self, address: str, *, fresh: bool = False) -> FarConn:
+        self.asked.append(address.split(':')[0])
+        self.conns.append(FarConn(self.scripts[len(self.conns)]))
+        return self.conns[-1]
+
+    def give(self, address: str, conn: FarConn) -> None:
+        """Keeps nothing."""
+
+    def drop(self, address: str) -> None:
+        """Keeps nothing."""
+
+
+class FakeAgent:
+    """What a call needs of the agent."""
+
+    class configuration:
+        version = 1
+
+    def __init__(self, names: list[str], **changes) -> None:
+        self.hosts = table(route('r', tries=2, **changes))
+        self.placement = Placement('a', 'own:1', random.Random(1))
+        for name in names:
+            self.placement.upsert(endpoint(name), 0)
+
+
+class FakeInbound:
+    callee_failures = 0
+
+
+class NoMetrics:
+    def count(self, *counted: object) -> None:
+        """Counts nothing."""
+
+
+class Caller:
+    """A caller at a node with other nodes around it."""
+
+    def __init__(
+        self, far: FarNodes, *, window_floor: float = 60, **changes
+    ) -> None:
+        settings = make_settings(
+            {
+                'role': 'node',
+                'control': {'addresses': ['10.0.0.9:1']},
+                'retry': {'window_floor': window_floor},
+            }
+        )
+        self.far = far
+        self.agent = FakeAgent(far.names, **changes)
+        self.outbound = Outbound(
+            settings,
+            self.agent,
+            FakeInbound(),
+            far,
+            NativeCalls(),
+            LoopClock(),
+            NoMetrics(),
+            LoopLag(0.25),
+        )
+
+    async def call(self, deadline_ms: int = 1000, body: bytes = b''):
+        headers = [
+            (b'host', b'a.example'),
+            (CALL_HEADER, b'c'),
+            (REMAINING_HEADER, b'%d' % deadline_ms),
+        ]
+        call = Call(b'POST', b'/r/x', headers, body)
+        return await self.outbound._outcome(call)
+
+
+def play(far: FarNodes, **changes):
+    """Returns the outcome of one call and the seconds that it took."""
+    body = changes.pop('body', b'')
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        caller = Caller(far, timeout_ms=1000, **changes)
+        outcome = await caller.call(body=body)
+        return outcome, loop.time() - began
+
+    with asyncio.Runner(loop_factory=FastLoop) as runner:
+        return runner.run(run())
+
+
+class TestSilence:
+    def test_a_call_at_a_node_that_falls_silent_is_not_given_up(self):
+        outcome, took = play(FarNodes([(0.6, GOOD)]), window_floor=0)
+        assert isinstance(outcome, Answered)
+        assert 0.59 < took < 0.7
+
+    def test_a_call_that_may_run_once_is_not_cut_by_silence(self):
+        far = FarNodes([(0.6, GOOD)], [(0.0, GOOD)])
+        outcome, took = play(far, repeatable=False)
+        assert isinstance(outcome, Answered)
+        assert len(far.asked) == 1
+        assert took > 0.59
+
+    def test_a_second_server_is_asked_beside_a_silent_one(self):
+        far = FarNodes([(0.9, GOOD)], [(0.05, GOOD)])
+        outcome, took = play(far)
+        assert isinstance(outcome, Answered)
+        assert took < SILENCE_S + 0.1
+        assert far.conns[0].closed
+
+    def test_the_silent_server_may_answer_first(self):
+        far = FarNodes([(0.3, GOOD)], [(0.3, GOOD)])
+        outcome, took = play(far)
+        assert isinstance(outcome, Answered)
+        assert 0.29 < took < 0.35
+        assert len(far.asked) == 2
+        assert far.conns[1].closed
+
+    def test_a_refusal_elsewhere_does_not_end_a_call_at_a_silent_node(self):
+        far = FarNodes([(0.6, GOOD)], [(0.01, SHED)])
+        outcome, took = play(far)
+        assert isinstance(outcome, Answered)
+        assert 0.59 < took < 0.7
+
+    def test_silence_to_the_end_is_unknown_at_the_deadline(self):
+        outcome, took = play(FarNodes([]), window_floor=0)
+        assert isinstance(outcome, NoAnswer)
+        assert outcome.code == Code.UNKNOWN_TIMEOUT
+        assert 0.9 < took < 1.1
+
+    def test_a_silent_server_is_passed_over_while_its_call_goes_on(self):
+        far = FarNodes([(0.6, GOOD)], [])
+
+        async def run():
+            caller = Caller(far, window_floor=0, timeout_ms=1000)
+            task = asyncio.create_task(caller.call())
+            await asyncio.sleep(SILENCE_S + 0.05)
+            now = asyncio.get_running_loop().time()
+            placement = caller.agent.placement
+            chosen = {
+                placement.choose('floor', now).endpoint.server
+                for _ in range(20)
+            }
+            await task
+            return chosen
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            chosen = runner.run(run())
+        assert far.asked[0] not in chosen
+
+
+class TestTries:
+    def test_a_refusal_without_cost_goes_on_to_the_next_server(self):
+        far = FarNodes([(0.01, SHED)], [(0.01, GOOD)])
+        outcome, _ = play(far, window_floor=0)
+        assert isinstance(outcome, Answered)
+
+    def test_a_lost_connection_is_told_from_silence(self):
+        far = FarNodes([(0.05, None)])
+        outcome, took = play(far, window_floor=0)
+        assert outcome.code == Code.UNKNOWN_BROKEN
+        assert took < 0.1
+
+    def test_signs_of_life_are_no_silence(self):
+        signs = [(0.1 * step, SIGN) for step in range(1, 7)]
+        far = FarNodes([*signs, (0.65, GOOD)], [])
+        outcome, _ = play(far)
+        assert isinstance(outcome, Answered)
+        assert len(far.asked) == 1
+
+    def test_a_failure_is_kept_when_no_better_answer_comes(self):
+        far = FarNodes([(0.01, FAILED)], [(0.01, FAILED)])
+        outcome, _ = play(far)
+        assert outcome.status == 500
+        assert len(far.asked) == 2
