--- a/papayalock/node/hostsmain.py
+++ b/papayalock/node/hostsmain.py
@@ -185,7 +185,7 @@
         self.choice.reseed(settings.control.addresses)
         self.announcer.backend = settings.hosts.backend
         self.announcer.service = settings.hosts.service
-        self.outbound.own_service = settings.hosts.service
+        self.outbound.tries.own_service = settings.hosts.service
 
     def _refit(self) -> None:
         """Follows a change of the configuration or of the server."""
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -1,9 +1,6 @@
 """Takes in the calls that begin on this VM and finds each a backend server."""
 
 import asyncio
-import logging
-
-import msgspec
 
 from papayalock.core.again import (
     ASK_SHARE,
@@ -14,45 +11,31 @@
 )
 from papayalock.core.budget import SharedBudget
 from papayalock.core.hosts import Splitter
-from papayalock.core.directory import Peer
 from papayalock.core.placing import Placement
 from papayalock.dialect import CallDialect
-from papayalock.messages import HopOrder, HostRoute, ServerLoad
+from papayalock.messages import HostRoute
 from papayalock.node.calljournal import CallJournal, Plan, Trail
 from papayalock.node.hostagent import HostAgent
 from papayalock.node.hostmetrics import HostMetrics
-from papayalock.node.http import OUTCOME_HEADER, Call, Reply
-from papayalock.node.inbound import (
-    ANSWER_BYTES,
-    ARRIVED_HEADER,
-    CALLEE_HEADER,
-    NOT_PASSED_ON,
-    ORDER_HEADER,
-    Inbound,
-)
+from papayalock.node.http import Call, Reply
+from papayalock.node.inbound import Inbound
 from papayalock.node.lag import LoopLag
 from papayalock.node.outcome import (
     Answered,
     NoAnswer,
     Outcome,
     final_outcome,
-    read_code,
 )
-from papayalock.node.trip import LOAD_HEADER
+from papayalock.node.tries import Tries
 from papayalock.pool import Pool
 from papayalock.ports import Clock
 from papayalock.result import Code
 from papayalock.settings import Settings
-from papayalock.wire import Request, Response, WireError
-
-log = logging.getLogger(__name__)
 
 MS = 1000  # milliseconds in a second
 NOT_READY_RETRY_MS = 300  # wait before a node is asked again
 NO_ROUTES_RETRY_MS = 800  # the same for one that has just started
 RETURNING_SHARE = 0.95  # of the usual deadline; with less a caller came back
-MARGIN_S = 0.002  # left for the way back of an answer
-_LOAD = msgspec.json.Decoder(ServerLoad)
 
 
 class Outbound:
@@ -71,13 +54,11 @@
     ) -> None:
         """Binds the parts."""
         self._settings = settings
-        self.own_service = settings.hosts.service
         self.closing = False
-        self._own_address = settings.advertise or settings.listen
         self._agent = agent
         self._placement: Placement = agent.placement
         self._inbound = inbound
-        self._pool = pool
+        self.tries = Tries(settings, agent.placement, inbound, pool, clock)
         self._dialect = dialect
         self._clock = clock
         self._splitter = Splitter()
@@ -199,7 +180,7 @@
                 break
             tried = tried | {peer.endpoint.server}
             plan.trail.append(Trail(peer, self._clock.monotonic()))
-            outcome = await self._try(plan, peer, may_wait=course.waited)
+            outcome = await self.tries.run(plan, peer, may_wait=course.waited)
             plan.trail[-1].end(outcome, self._clock.monotonic())
             kept = final_outcome(kept, outcome)
             step = self._step(plan, course, budget, outcome)
@@ -240,114 +221,6 @@
         course.waited = course.waited or step is Step.WAIT
         return step
 
-    # One try.
-
-    async def _try(self, plan: Plan, peer: Peer, *, may_wait: bool) -> Outcome:
-        order = self._order(plan, peer, may_wait=may_wait)
-        self._placement.started(peer)
-        code = Code.UNKNOWN_BROKEN
-        try:
-            if peer.endpoint.address == self._own_address:
-                outcome = await self._inbound.run(order, plan.call)
-            else:
-                outcome = await self._hop(plan, peer, order)
-            code = Code.DONE
-            if isinstance(outcome, NoAnswer):
-                code = outcome.code
-            else:
-                size = len(outcome.body)
-                self._placement.answered(plan.route.name, size)
-        except asyncio.CancelledError:
-            code = Code.DEADLINE_BEFORE_RUN
-            raise
-        finally:
-            self._placement.finished(peer, code, self._clock.monotonic())
-        return outcome
-
-    def _order(self, plan: Plan, peer: Peer, *, may_wait: bool) -> HopOrder:
-        now = self._clock.monotonic()
-        route = plan.route
-        return HopOrder(
-            call=plan.terms.call,
-            service=plan.service,
-            server=peer.endpoint.server,
-            route=route.name,
-            repeatable=route.repeatable,
-            rank=route.rank,
-            remaining_ms=max(1, int((plan.deadline_at - MARGIN_S - now) * MS)),
-            target_ms=int((plan.target_at - now) * MS),
-            caller=self.own_service,
-            returning=plan.returning,
-            may_wait=may_wait,
-        )
-
-    async def _hop(self, plan: Plan, peer: Peer, order: HopOrder) -> Outcome:
-        call = plan.call
-        headers = [
-            pair for pair in call.headers if pair[0] not in NOT_PASSED_ON
-        ]
-        headers.append((ORDER_HEADER, msgspec.json.encode(order)))
-        req = Request(call.method, call.target, headers, call.body)
-        address = peer.endpoint.address
-        try:
-            conn = await self._pool.take(address)
-        except WireError as exc:
-            return NoAnswer(exc.code, str(exc))
-        whole = False
-        try:
-            response = await conn.call(
-                req,
-                self._settings.hosts.silence_ms,
-                expect=not order.repeatable,
-            )
-            body = await response.read_all(ANSWER_BYTES)
-            whole = True
-        except WireError as exc:
-            self._pool.drop(address)
-            return NoAnswer(exc.code, str(exc), arrived=exc.sent)
-        finally:
-            if whole:
-                self._pool.give(address, conn)
-            else:
-                conn.close()
-        return self._read_hop(peer, response, body)
-
-    def _read_hop(self, peer: Peer, response: Response, body: bytes) -> Outcome:
-        self._note_load(peer, response.header(LOAD_HEADER))
-        code = read_code(response.header(OUTCOME_HEADER))
-        if code is None:
-            return NoAnswer(Code.INCOMPLETE_ANSWER, 'no outcome', arrived=True)
-        if code == Code.DONE:
-            headers = [
-                pair
-                for pair in response.headers
-                if pair[0] not in NOT_PASSED_ON
-            ]
-            callee_failed = response.header(CALLEE_HEADER) == b'1'
-            return Answered(response.status, headers, body, callee_failed)
-        retry_after = response.header(b'retry-after')
-        return NoAnswer(
-            code,
-            body.decode('latin-1'),
-            int(retry_after) if retry_after.isdigit() else 0,
-            arrived=response.header(ARRIVED_HEADER) == b'1',
-        )
-
-    def _note_load(self, peer: Peer, header: bytes) -> None:
-        try:
-            load = _LOAD.decode(header)
-        except msgspec.MsgspecError as exc:
-            log.warning(
-                'load not read',
-                extra={
-                    'server': peer.endpoint.server,
-                    'code': Code.BAD_MESSAGE,
-                    'reason': str(exc),
-                },
-            )
-            return
-        self._placement.reported(peer, load, self._clock.monotonic())
-
     def _budget(self, service: str) -> SharedBudget:
         budget = self._budgets.get(service)
         if budget is None:
