Tell a call's story from its own node when a gate's line comes last

The new line 'call abandoned' begins like the lines of the caller's node, so 'papayalock trace' took it for the call's end. The test failed before.

--- a/papayalock/story.py
+++ b/papayalock/story.py
@@ -12,7 +12,7 @@
 BEFORE_S = 3.0  # time before a call in which changes may explain it
 CLOCK_SLACK_S = 0.05  # disagreement of clocks that is not worth a word
 ENTRY = 'call '
-AT_GATE = 'call not admitted'
+AT_GATE = frozenset(('call not admitted', 'call abandoned'))
 CONTEXT = frozenset(
     (
         'version applied',
@@ -75,7 +75,7 @@
         own = [
             one
             for one in self.lines
-            if one.message.startswith(ENTRY) and one.message != AT_GATE
+            if one.message.startswith(ENTRY) and one.message not in AT_GATE
         ]
         return own[-1] if own else None
 
@@ -124,7 +124,7 @@
 
 def _cause_order(line: Line) -> tuple[bool, float]:
     """Puts what the gates decided before what the node made of it."""
-    return (line.message != AT_GATE, line.at)
+    return (line.message not in AT_GATE, line.at)
 
 
 def _explains(
--- a/test/test_story.py
+++ b/test/test_story.py
@@ -40,6 +40,10 @@
         assert cause_of(told).startswith('103 SHED')
         assert 'was not run' in cause_of(told)
 
+    def test_a_call_taken_back_at_a_gate_is_still_told_from_its_own_node(self):
+        texts = [*REFUSED, line(10.1, 'node-b', 'call abandoned', call='c1')]
+        assert story('c1', texts).entry.process == 'node-a'
+
     def test_changes_on_the_way_are_shown_those_elsewhere_are_not(self):
         texts = [*REFUSED, line(9.5, 'node-z', 'version applied', version=8)]
         assert [one.process for one in story('c1', texts).context] == ['node-a']
