Let a call go on at a node that falls silent, and ask another one beside it

Cause: 240 ms without a sign of life from another node ended the try and closed its connection. The call counted as perhaps run, so a refusal of the next server, a spent budget or the bound on runs then ended it as unknown, long before its deadline. A node that has just started, or waits for its share of the processor or of a slow link, is silent for longer than that. Class: a silence time-out taken for the end of what may still be running.

Change: silence is told once and ends nothing. The server is passed over for new calls and its idle connections are dropped, as before; if the call may be repeated and the budget allows, another server is asked beside it; the first answer wins and the rest is taken back. With no answer, a call ends at its deadline. A call that may run once just waits on.

Ruled out: the call's own deadline (time left), the stop of the caller's node (it closes no hop before the end of its grace time), a lost connection (that is UNKNOWN_BROKEN). Weighed and not taken: a longer silence time (the same fault, later); a probe by a new connection as proof of death (a full queue of new connections at a node that starts looks the same).

--- a/papayalock/core/placing.py
+++ b/papayalock/core/placing.py
@@ -113,6 +113,10 @@
         elif code in SILENT or code.unknown:
             self._failed(peer, code, now)
 
+    def silent(self, peer: Peer, now: float) -> None:
+        """Notes that a server has fallen silent, though its call goes on."""
+        self._failed(peer, Code.UNKNOWN_TIMEOUT, now)
+
     def answered(self, route: str, size: int) -> None:
         """Notes the bytes of an answer."""
         known = self._sizes.get(route, size)
--- a/papayalock/node/calljournal.py
+++ b/papayalock/node/calljournal.py
@@ -36,6 +36,7 @@
         'load_age_s',
         'peer',
         'reason',
+        'silent_at',
         'started',
     )
 
@@ -44,6 +45,7 @@
         self.peer = peer
         self.started = now
         self.ended: float | None = None
+        self.silent_at: float | None = None
         self.jobs = peer.load.jobs if peer.load else -1
         self.load_age_s = now - peer.load_at
         self.failures = peer.failures
@@ -62,7 +64,7 @@
     def fields(self, now: float) -> Fields:
         """Returns the try as fields of a log line."""
         ended = now if self.ended is None else self.ended
-        return {
+        fields: Fields = {
             'server': self.peer.endpoint.server,
             'address': self.peer.endpoint.address,
             'code': self.code or 'UNFINISHED',
@@ -72,6 +74,18 @@
             'load_age_ms': round(self.load_age_s * MS),
             'failures': self.failures,
         }
+        if self.silent_at is not None:
+            fields['silent_after_ms'] = round(
+                (self.silent_at - self.started) * MS, 1
+            )
+        return fields
+
+
+def _was_tried_again(trail: list[Trail]) -> bool:
+    """Whether a server failed or fell silent before another one answered."""
+    first = trail[0]
+    troubled = first.code.isdigit() or first.silent_at is not None
+    return len(trail) > 1 and troubled
 
 
 @dataclass(slots=True)
@@ -134,7 +148,7 @@
             message = 'call refused' if code.not_run else 'call failed'
         elif outcome.failed:
             message = 'call answered by a failure'
-        elif len(plan.trail) > 1 and plan.trail[0].code.isdigit():
+        elif _was_tried_again(plan.trail):
             message = 'call answered after more than one try'
         else:
             message = 'call answered'
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -1,6 +1,7 @@
 """Takes in the calls that begin on this VM and finds each a backend server."""
 
 import asyncio
+import functools
 
 from papayalock.core.again import (
     ASK_SHARE,
@@ -26,6 +27,7 @@
     Outcome,
     final_outcome,
 )
+from papayalock.node.race import Race
 from papayalock.node.tries import Tries
 from papayalock.pool import Pool
 from papayalock.ports import Clock
@@ -164,41 +166,84 @@
     async def _run(
         self, plan: Plan, course: Course, budget: SharedBudget
     ) -> Outcome:
-        tried: frozenset[str] = frozenset()
+        race = Race()
+        try:
+            return await self._follow(race, plan, course, budget)
+        finally:
+            race.cancel()
+
+    async def _follow(
+        self, race: Race, plan: Plan, course: Course, budget: SharedBudget
+    ) -> Outcome:
+        """Starts tries until one has an answer, or all have ended without.
+
+        A node that falls silent may be slow; its try goes on beside the next.
+        """
         kept: Outcome | None = None
-        step = Step.ASK_ANOTHER
-        while step is not Step.GIVE_UP:
-            peer = next_server(
-                self._placement,
-                course,
-                plan.service,
-                plan.route.name,
-                tried,
-                self._clock.monotonic(),
-            )
-            if peer is None:
-                break
-            tried = tried | {peer.endpoint.server}
-            plan.trail.append(Trail(peer, self._clock.monotonic()))
-            outcome = await self.tries.run(plan, peer, may_wait=course.waited)
-            plan.trail[-1].end(outcome, self._clock.monotonic())
-            kept = final_outcome(kept, outcome)
-            step = self._step(plan, course, budget, outcome)
+        self._start(race, plan, course)
+        while not race.over:
+            trail, outcome = await race.next()
+            if outcome is None:
+                step = self._after_silence(trail, plan, course, budget)
+            else:
+                trail.end(outcome, self._clock.monotonic())
+                kept = final_outcome(kept, outcome)
+                step = self._step(trail, plan, course, budget, outcome)
+                if step is Step.GIVE_UP and isinstance(outcome, Answered):
+                    return kept
+            if step is not Step.GIVE_UP:
+                self._start(race, plan, course)
         return kept or NoAnswer(
             Code.NO_SERVER,
             f'no backend server of {plan.service}',
             NOT_READY_RETRY_MS,
         )
 
+    def _start(self, race: Race, plan: Plan, course: Course) -> None:
+        """Starts the next try, if there is a server to ask."""
+        now = self._clock.monotonic()
+        peer = next_server(
+            self._placement,
+            course,
+            plan.service,
+            plan.route.name,
+            frozenset(one.peer.endpoint.server for one in plan.trail),
+            now,
+        )
+        if peer is None:
+            return
+        trail = Trail(peer, now)
+        plan.trail.append(trail)
+        attempt = self.tries.run(
+            plan,
+            peer,
+            functools.partial(race.silent, trail),
+            may_wait=course.waited,
+        )
+        race.start(trail, attempt)
+
+    def _after_silence(
+        self, trail: Trail, plan: Plan, course: Course, budget: SharedBudget
+    ) -> Step:
+        now = self._clock.monotonic()
+        trail.silent_at = now
+        self.tries.suspect(trail.peer, now)
+        course.runs += 1
+        return self._next_step(
+            plan, course, budget, Code.UNKNOWN_TIMEOUT, arrived=True
+        )
+
     def _step(
         self,
+        trail: Trail,
         plan: Plan,
         course: Course,
         budget: SharedBudget,
         outcome: Outcome,
     ) -> Step:
+        counted = trail.silent_at is not None
         if isinstance(outcome, Answered):
-            course.runs += 1
+            course.runs += not counted
             worth_it = outcome.failed and not outcome.callee_failed
             if not (worth_it and course.repeatable):
                 return Step.GIVE_UP
@@ -207,8 +252,19 @@
         else:
             code = outcome.code
             arrived = outcome.arrived
-            course.runs += not code.not_run
+            course.runs += not (code.not_run or counted)
             course.asked += code.not_run and not arrived
+        return self._next_step(plan, course, budget, code, arrived=arrived)
+
+    def _next_step(
+        self,
+        plan: Plan,
+        course: Course,
+        budget: SharedBudget,
+        code: Code,
+        *,
+        arrived: bool,
+    ) -> Step:
         step = next_step(
             course,
             code,
--- a/papayalock/node/tries.py
+++ b/papayalock/node/tries.py
@@ -24,7 +24,7 @@
 from papayalock.ports import Clock
 from papayalock.result import Code
 from papayalock.settings import Settings
-from papayalock.wire import Request, Response, WireError
+from papayalock.wire import OnSilent, Request, Response, WireError
 
 log = logging.getLogger(__name__)
 
@@ -53,8 +53,13 @@
         self._pool = pool
         self._clock = clock
 
-    async def run(self, plan: Plan, peer: Peer, *, may_wait: bool) -> Outcome:
-        """Runs one try of a call at one server."""
+    async def run(
+        self, plan: Plan, peer: Peer, on_silent: OnSilent, *, may_wait: bool
+    ) -> Outcome:
+        """Runs one try of a call at one server, however long it takes.
+
+        :param on_silent: called when the other node gives no sign of life
+        """
         order = self._order(plan, peer, may_wait=may_wait)
         self._placement.started(peer)
         code = Code.UNKNOWN_BROKEN
@@ -62,7 +67,7 @@
             if peer.endpoint.address == self._own_address:
                 outcome = await self._inbound.run(order, plan.call)
             else:
-                outcome = await self._hop(plan, peer, order)
+                outcome = await self._hop(plan, peer, order, on_silent)
             code = Code.DONE
             if isinstance(outcome, NoAnswer):
                 code = outcome.code
@@ -76,6 +81,11 @@
             self._placement.finished(peer, code, self._clock.monotonic())
         return outcome
 
+    def suspect(self, peer: Peer, now: float) -> None:
+        """Passes over a server that fell silent, and its idle connections."""
+        self._placement.silent(peer, now)
+        self._pool.drop(peer.endpoint.address)
+
     def _order(self, plan: Plan, peer: Peer, *, may_wait: bool) -> HopOrder:
         now = self._clock.monotonic()
         route = plan.route
@@ -93,7 +103,9 @@
             may_wait=may_wait,
         )
 
-    async def _hop(self, plan: Plan, peer: Peer, order: HopOrder) -> Outcome:
+    async def _hop(
+        self, plan: Plan, peer: Peer, order: HopOrder, on_silent: OnSilent
+    ) -> Outcome:
         call = plan.call
         headers = [
             pair for pair in call.headers if pair[0] not in NOT_PASSED_ON
@@ -111,6 +123,7 @@
                 req,
                 self._silence_ms,
                 expect=not order.repeatable,
+                on_silent=on_silent,
             )
             body = await response.read_all(ANSWER_BYTES)
             whole = True
--- a/papayalock/wire.py
+++ b/papayalock/wire.py
@@ -23,6 +23,7 @@
 FIRST_FINAL_STATUS = 200
 Headers = list[tuple[bytes, bytes]]
 Belongs = Callable[[Headers], bool]
+OnSilent = Callable[[], None]
 
 
 class WireError(Exception):
@@ -146,6 +147,7 @@
         self._paused = False
         self._head_only = False
         self._belongs: Belongs | None = None
+        self._on_silent: OnSilent | None = None
         self._foreign = False
         self._surplus = False
         self._seen = 0
@@ -166,6 +168,7 @@
         *,
         expect: bool = False,
         belongs: Belongs | None = None,
+        on_silent: OnSilent | None = None,
     ) -> Response:
         """Sends a request and returns the head of its answer.
 
@@ -173,10 +176,13 @@
         :param expect: holds the body back until the far end asks for it
         :param belongs: tells by its headers whether an answer belongs to
             this request; one that does not is passed over
+        :param on_silent: called once when a request that was sent has made no
+            progress for so long; the call then goes on without a time limit
         :raises WireError: when there is no answer
         """
         self._begin(timeout_ms)
         self._belongs = belongs
+        self._on_silent = on_silent
         self._head_only = req.method == b'HEAD'
         if expect and req.body:
             await self._send_expecting(req)
@@ -300,6 +306,9 @@
         if self.progress != self._seen or self._paused:
             self._start_timer()
             return
+        if self._sent and self._on_silent is not None:
+            self._on_silent()
+            return
         code = Code.UNKNOWN_TIMEOUT if self._sent else Code.NOT_CONNECTED
         self._fail(code, 'no progress')
 
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -67,6 +67,7 @@
         self.scripts = scripts
         self.names = [f'n{number}' for number, _ in enumerate(scripts)]
         self.asked: list[str] = []
+        self.dropped: list[str] = []
         self.conns: list[FarConn] = []
 
     async def take(self, address: str, *, fresh: bool = False) -> FarConn:
@@ -78,7 +79,7 @@
         """Keeps nothing."""
 
     def drop(self, address: str) -> None:
-        """Keeps nothing."""
+        self.dropped.append(address.split(':')[0])
 
 
 class FakeAgent:
@@ -173,6 +174,7 @@
         assert isinstance(outcome, Answered)
         assert took < SILENCE_S + 0.1
         assert far.conns[0].closed
+        assert far.dropped == far.asked[:1]
 
     def test_the_silent_server_may_answer_first(self):
         far = FarNodes([(0.3, GOOD)], [(0.3, GOOD)])
