Take no other for silent while the own loop stood still

Cause: the timer of silence fires in the same pass of the loop, or before the pass, that would read the bytes. Change: a timer that runs late by a quarter of its timeout waits for that quarter once more. It is a class of its own (progress.py) now; wire.py had grown.

--- a/papayalock/wire.py
+++ b/papayalock/wire.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from papayalock.progress import ProgressTimer
 from papayalock.result import Code
 
 MS = 1000  # milliseconds in a second
@@ -142,7 +143,7 @@
         self._continued = False
         self._response: Response | None = None
         self._waiter: asyncio.Future[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = ProgressTimer(lambda: self.progress, self._on_silence)
         self._sent = False
         self._paused = False
         self._head_only = False
@@ -150,8 +151,6 @@
         self._on_silent: OnSilent | None = None
         self._foreign = False
         self._surplus = False
-        self._seen = 0
-        self._timeout = 0.0
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -224,7 +223,7 @@
     def close(self) -> None:
         """Closes the connection at once."""
         self.closed = True
-        self._stop_timer()
+        self._timer.stop()
         if self.transport is not None:
             self.transport.abort()
 
@@ -261,8 +260,7 @@
         self._headers = []
         self._head_bytes = 0
         self.used = True
-        self._timeout = timeout_ms / MS
-        self._start_timer()
+        self._timer.start(timeout_ms / MS)
 
     def _write(self, data: bytes) -> None:
         if self.transport is not None:
@@ -283,28 +281,16 @@
             raise self._failure
 
     def _end(self) -> None:
-        self._stop_timer()
+        self._timer.stop()
         response = self._response
         if response is not None and not response.keep_alive:
             self.close()
 
-    # Progress is judged by bytes: the timer only fails a call that got none.
-
-    def _start_timer(self) -> None:
-        self._seen = self.progress
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self._timeout, self._on_timer)
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _on_timer(self) -> None:
+    def _on_silence(self) -> None:
         if self._complete:
             return
-        if self.progress != self._seen or self._paused:
-            self._start_timer()
+        if self._paused:
+            self._timer.again()
             return
         if self._sent and self._on_silent is not None:
             self._on_silent()
@@ -328,7 +314,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails a call that is under way."""
         self.closed = True
-        self._stop_timer()
+        self._timer.stop()
         if not self._complete:
             code = Code.UNKNOWN_BROKEN if self._sent else Code.NOT_CONNECTED
             if self._response is not None:
--- a/test/wires.py
+++ b/test/wires.py
@@ -47,6 +47,10 @@
     def time(self) -> float:
         return 1000.0 + self._skipped
 
+    def stall(self, seconds: float) -> None:
+        """Lets time pass as if the loop's thread had stood still."""
+        self._skipped += seconds
+
     def run_in_executor(self, executor, func, *args):
         fut = self.create_future()
         try:
