--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -11,6 +11,7 @@
 import math
 from dataclasses import dataclass
 
+from papayalock.core.closing import Closing
 from papayalock.core.limits import Admittance, Queued, Shed, Started
 from papayalock.messages import HopOrder, ServerLoad
 from papayalock.result import Code
@@ -131,6 +132,7 @@
     def __init__(self) -> None:
         """Starts closed: without slots until a server announces itself."""
         self.slots = 0
+        self.closing = Closing()
         self.pace = Pace()
         self.failing = 0.0
         self.usage = RankUsage()
--- a/papayalock/node/hostsmain.py
+++ b/papayalock/node/hostsmain.py
@@ -1,10 +1,8 @@
 """Wires and runs a node that routes by host and path."""
 
 import asyncio
-import contextlib
 import logging
 import random
-import signal
 from pathlib import Path
 
 from papayalock.clock import SystemClock
@@ -23,6 +21,7 @@
 from papayalock.node.lag import LoopLag
 from papayalock.node.listener import Server, ServerLimits
 from papayalock.node.outbound import Outbound
+from papayalock.node.shutdown import Shutdown, stop_signal
 from papayalock.pool import Pool
 from papayalock.reload import SettingsWatch
 from papayalock.settings import Settings
@@ -33,11 +32,6 @@
 HEARTBEATS_PER_LEASE = 4
 POOLED_PER_ADDRESS = 64
 SWEEP_S = 0.25
-NOTICE_S = 2.6  # time in which callers see that the node is not ready
-EXIT_MARGIN_S = 0.4  # kept at the end of the grace time
-REFUSE_S = 1.2  # before the end, from which on new calls are refused
-LEAVE_S = 0.2  # longest wait until a control VM knows that the node ends
-QUIET_STEP_S = 0.01
 OK = 200
 UNAVAILABLE = 503
 HEAD_BYTES = 65536
@@ -103,6 +97,7 @@
             clock,
             self.metrics,
             self.lag,
+            gate.closing,
         )
         self.announcer = Announcer(
             dialects.announcements,
@@ -126,6 +121,14 @@
         self.ready_server = Server(self._ready, inner)
         self.announce_server = Server(self.announcer.handle, inner)
         self.metrics_server = Server(self.metrics.handle, inner)
+        self.shutdown = Shutdown(
+            self.agent,
+            self.outbound,
+            self.callers,
+            self.hop_server,
+            gate.closing,
+            clock,
+        )
         self.finder = BackendFinder(
             self.agent, dialects.calls, self.backend_pool, clock, hosts
         )
@@ -142,10 +145,7 @@
 
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT, then stops gracefully."""
-        loop = asyncio.get_running_loop()
-        stop = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
+        stop = stop_signal()
         listeners = await self._listen()
         tasks = [
             asyncio.create_task(self.agent.run()),
@@ -156,7 +156,8 @@
             task.add_done_callback(_report_end)
         log.info('node started', extra={'listen': self.settings.listen})
         await stop.wait()
-        await self._stop(listeners, tasks)
+        grace_s = self.settings.hosts.grace_ms / MS
+        await self.shutdown.run(grace_s, listeners, tasks)
 
     async def _listen(self) -> list[asyncio.Server]:
         hosts = self.settings.hosts
@@ -207,49 +208,6 @@
             self.callers.sweep(loop.time())
             self.inbound.refit()
 
-    async def _stop(
-        self,
-        listeners: list[asyncio.Server],
-        tasks: list['asyncio.Task[None]'],
-    ) -> None:
-        """Lets callers and other nodes go elsewhere, and calls end."""
-        started = self._clock.monotonic()
-        log.info('node stops')
-        last = started + self.settings.hosts.grace_ms / MS - EXIT_MARGIN_S
-        self.agent.stopping = True
-        self.callers.stopping = True
-        self.agent.poke()
-        await asyncio.sleep(NOTICE_S)
-        clean = await self._quiet(last - REFUSE_S) or await self._finish(last)
-        await self._leave(tasks)
-        for listener in listeners:
-            listener.close()
-        await self.callers.stop(0)
-        await self.hop_server.stop(0)
-        log.info('node stopped', extra={'clean': clean})
-
-    async def _leave(self, tasks: list['asyncio.Task[None]']) -> None:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LEAVE_S):
-                await self.agent.leave()
-
-    async def _finish(self, last: float) -> bool:
-        """Refuses what still comes, so that what is under way can end."""
-        self.outbound.closing = True
-        return await self._quiet(last)
-
-    async def _quiet(self, until: float) -> bool:
-        """Waits for a moment without calls; returns whether it came in time."""
-        while self._clock.monotonic() < until:
-            busy = self.callers.busy or self.hop_server.busy
-            if not busy and not self.outbound.busy:
-                return True
-            await asyncio.sleep(QUIET_STEP_S)
-        return False
-
 
 def _report_end(task: 'asyncio.Task[None]') -> None:
     if not task.cancelled() and task.exception() is not None:
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -13,6 +13,7 @@
     next_step,
 )
 from papayalock.core.budget import SharedBudget
+from papayalock.core.closing import RETRY_MS, Closing
 from papayalock.core.hosts import Splitter
 from papayalock.core.directory import Peer
 from papayalock.core.placing import Placement
@@ -68,11 +69,12 @@
         clock: Clock,
         metrics: HostMetrics,
         lag: LoopLag,
+        closing: Closing,
     ) -> None:
         """Binds the parts."""
         self._settings = settings
         self.own_service = settings.hosts.service
-        self.closing = False
+        self._closing = closing
         self._own_address = settings.advertise or settings.listen
         self._agent = agent
         self._placement: Placement = agent.placement
@@ -118,8 +120,8 @@
         return outcome
 
     def _plan(self, call: Call) -> Plan | NoAnswer:
-        if self.closing:
-            return NoAnswer(Code.DRAINING, 'the node stops', NOT_READY_RETRY_MS)
+        if self._closing.refuses_all(self._clock.monotonic()):
+            return NoAnswer(Code.DRAINING, 'the node stops', RETRY_MS)
         if not self._agent.configuration.version:
             return NoAnswer(
                 Code.NOT_CONFIGURED, 'no routes yet', NO_ROUTES_RETRY_MS
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -4,6 +4,7 @@
 import random
 
 from papayalock.config import make_settings
+from papayalock.core.closing import Closing
 from papayalock.core.placing import Placement
 from papayalock.native import CALL_HEADER, REMAINING_HEADER, NativeCalls
 from papayalock.node.http import Call
@@ -127,6 +128,7 @@
             LoopClock(),
             NoMetrics(),
             LoopLag(0.25),
+            Closing(),
         )
 
     async def call(self, deadline_ms: int = 1000, body: bytes = b''):
