Refuse calls that a stopping node would cut

Callers saw: a call that came 4.3 s after SIGTERM with 3 s to go was taken, and its connection ended without an answer 1.3 s later, while its server was at work.

Cause: the node looked only at the time of arrival: all calls were taken until 1.2 s before its end, whatever their deadline.

Evidence: test_shutdown.TestCalls before the fix: test_a_call_that_would_be_cut_is_refused_at_once: answer(4.3, run_s=1.5) and test_so_is_one_right_after_the_notice: answer(2.7, run_s=2.95) both were b'', a connection without an answer.

Ruled out: waiting longer (the grace time is the platform's); refusing all from the end of the notice (calls that end in time would lose their answer).

Why it works: once callers have had the time to see that the node is not ready, a call is taken only when its own deadline comes before the node's end, so nothing that is taken then is left at the end. A refused call is not run, and its caller may come back. The price: a call that would have been quick is refused too, as its run time is not known. Calls taken during the notice may be cut only with a deadline beyond 3 s.

--- a/papayalock/core/closing.py
+++ b/papayalock/core/closing.py
@@ -27,6 +27,22 @@
         self.ends_at = now + max(0.0, grace_s - EXIT_MARGIN_S)
         self.told_at = min(now + NOTICE_S, self.ends_at)
 
-    def refuses_all(self, now: float) -> bool:
-        """Whether the node takes no call of its own callers any more."""
-        return now >= max(self.told_at, self.ends_at - REFUSE_S)
+    def cuts(self, deadline_at: float) -> bool:
+        """Whether the node may end before a call with this deadline."""
+        return deadline_at >= self.ends_at
+
+    def refuses(self, deadline_at: float, now: float) -> bool:
+        """Whether a call that arrives now may not be taken.
+
+        Before its callers have been told, a node takes every call; one whose
+        deadline is further off than the end is then cut if it lasts so long.
+        """
+        return now >= self.told_at and self.cuts(deadline_at)
+
+    def refuses_caller(self, deadline_at: float, now: float) -> bool:
+        """The same for a call of the node's own callers.
+
+        Shortly before the end none is taken, so that the node falls quiet.
+        """
+        last_call_at = max(self.told_at, self.ends_at - REFUSE_S)
+        return now >= last_call_at or self.refuses(deadline_at, now)
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -120,8 +120,6 @@
         return outcome
 
     def _plan(self, call: Call) -> Plan | NoAnswer:
-        if self._closing.refuses_all(self._clock.monotonic()):
-            return NoAnswer(Code.DRAINING, 'the node stops', RETRY_MS)
         if not self._agent.configuration.version:
             return NoAnswer(
                 Code.NOT_CONFIGURED, 'no routes yet', NO_ROUTES_RETRY_MS
@@ -131,7 +129,10 @@
         route = self._agent.hosts.match(host.split(':')[0], path)
         if route is None:
             return NoAnswer(Code.NO_ROUTE, f'no route for {host}{path}')
-        return self._plan_route(call, route)
+        plan = self._plan_route(call, route)
+        if self._closing.refuses_caller(plan.deadline_at, plan.arrived):
+            return NoAnswer(Code.DRAINING, 'the node stops', RETRY_MS)
+        return plan
 
     def _plan_route(self, call: Call, route: HostRoute) -> Plan:
         now = self._clock.monotonic()
--- a/test/test_closing.py
+++ b/test/test_closing.py
@@ -13,7 +13,8 @@
 
 class TestTimes:
     def test_a_node_that_does_not_stop_takes_every_call(self):
-        assert not Closing().refuses_all(1e9)
+        assert not Closing().refuses_caller(2e9, 1e9)
+        assert not Closing().refuses(2e9, 1e9)
 
     def test_callers_have_been_told_long_before_the_end(self):
         one = closing()
@@ -30,13 +31,35 @@
         assert one.told_at == one.ends_at == 100.0
 
 
-class TestRefusesAll:
+class TestCallers:
+    def test_all_calls_are_taken_until_callers_have_been_told(self):
+        assert not closing().refuses_caller(200.0, 102.59)
+        assert closing().refuses_caller(200.0, 102.6)
+
+    def test_then_those_that_may_outlast_the_node_are_refused(self):
+        assert not closing().refuses_caller(105.59, 103.0)
+        assert closing().refuses_caller(105.6, 103.0)
+
+    def test_the_usual_deadline_fits_until_callers_have_been_told(self):
+        arrived = 102.59
+        assert not closing().cuts(arrived + 3.0)
+
     def test_shortly_before_the_end_no_call_is_taken(self):
-        assert not closing().refuses_all(104.39)
-        assert closing().refuses_all(104.41)
+        assert not closing().refuses_caller(104.5, 104.39)
+        assert closing().refuses_caller(104.5, 104.41)
 
     def test_a_short_grace_time_still_leaves_the_notice(self):
         one = Closing()
         one.begin(100.0, 1.0)
-        assert not one.refuses_all(100.5)
-        assert one.refuses_all(100.6)
+        assert not one.refuses_caller(100.55, 100.5)
+        assert one.refuses_caller(100.65, 100.6)
+
+
+class TestOtherNodes:
+    def test_their_calls_are_taken_until_they_have_been_told(self):
+        assert not closing().refuses(200.0, 102.59)
+        assert closing().refuses(200.0, 102.6)
+
+    def test_calls_that_end_before_the_node_are_taken_to_the_end(self):
+        assert not closing().refuses(105.59, 105.5)
+        assert closing().refuses(105.6, 105.5)
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -118,6 +118,7 @@
             }
         )
         self.far = far
+        self.closing = Closing()
         self.agent = FakeAgent(far.names, **changes)
         self.outbound = Outbound(
             settings,
@@ -128,7 +129,7 @@
             LoopClock(),
             NoMetrics(),
             LoopLag(0.25),
-            Closing(),
+            self.closing,
         )
 
     async def call(self, deadline_ms: int = 1000, body: bytes = b''):
--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -5,10 +5,11 @@
 from papayalock.config import make_settings
 from papayalock.core.closing import Closing
 from papayalock.dialect import NodeDialects
-from papayalock.native import NativeAnnouncements, NativeCalls
+from papayalock.native import REMAINING_HEADER, NativeAnnouncements, NativeCalls
 from papayalock.node.hostsmain import HostNode
 from papayalock.node.http import Call, Reply
 from papayalock.node.shutdown import Shutdown
+from test.test_outbound import GOOD, SIGN, Caller, FarNodes
 from test.test_pipelining import get
 from test.test_placing import endpoint
 from test.wires import FastLoop, LoopClock, ServerSide, server
@@ -156,6 +157,71 @@
         assert fast(play)
 
 
+async def hold(call: Call, reply: Reply) -> None:
+    await asyncio.sleep(9)
+
+
+class StoppingNode:
+    """A node that stops, is never quiet, and whose calls run elsewhere."""
+
+    def __init__(self, run_s: float) -> None:
+        signs = [(0.1 * step, SIGN) for step in range(1, int(run_s * 10))]
+        self.far = FarNodes([*signs, (run_s, GOOD)])
+        self.at = Caller(self.far, window_floor=0, timeout_ms=60000)
+        self.callers, self.caller = server(self.at.outbound.handle)
+        hops, self.hop = server(hold)
+        self.shutdown = Shutdown(
+            FakeAgent(),
+            self.at.outbound,
+            self.callers,
+            hops,
+            self.at.closing,
+            LoopClock(),
+        )
+
+    async def call(self, at_s: float, deadline_ms: int) -> bytes:
+        """Returns what a caller reads whose call comes at a time of the stop."""
+        stop = asyncio.create_task(self.shutdown.run(GRACE_S, [], []))
+        self.hop.conn.data_received(get('/held'))
+        head = b'POST /r/x HTTP/1.1\r\nhost: a.example\r\ncontent-length: 0\r\n'
+        remaining = b'%b: %d\r\n\r\n' % (REMAINING_HEADER, deadline_ms)
+        await asyncio.sleep(at_s)
+        self.caller.conn.data_received(head + remaining)
+        await stop
+        return self.caller.transport.written
+
+
+def answer(at_s: float, deadline_ms: int = 3000, run_s: float = 0.2):
+    """Returns the status line and the result code of a call's answer."""
+
+    async def play():
+        return await StoppingNode(run_s).call(at_s, deadline_ms)
+
+    return fast(play)
+
+
+class TestCalls:
+    def test_a_call_that_would_be_cut_is_refused_at_once(self):
+        assert b'105 DRAINING' in answer(4.3, run_s=1.5)
+
+    def test_so_is_one_right_after_the_notice(self):
+        assert b'105 DRAINING' in answer(2.7, run_s=2.95)
+
+    def test_a_refused_caller_is_told_when_to_come_back(self):
+        assert b'retry-after' in answer(4.3)
+
+    def test_a_call_that_ends_before_the_node_is_served(self):
+        assert answer(2.7, 2800, run_s=2.5).startswith(b'HTTP/1.1 200')
+        assert answer(4.3, 1200, run_s=1.0).startswith(b'HTTP/1.1 200')
+
+    def test_callers_who_cannot_know_yet_are_served(self):
+        assert answer(2.5, 9000).startswith(b'HTTP/1.1 200')
+        assert answer(2.5, 9000, run_s=3.0).startswith(b'HTTP/1.1 200')
+
+    def test_shortly_before_the_end_none_is_taken(self):
+        assert b'105 DRAINING' in answer(4.5, 500)
+
+
 class TestReadiness:
     def test_a_node_that_stops_is_not_ready_at_once(self):
         async def play():
