Refuse orders of other nodes that a stopping node would cut

Callers would see: a call sent to a server whose node stops is run until the node's last moment and then cut; the calling node sees a broken connection and answers 'unknown', which a call that may run once cannot be saved from.

Cause: the gate in front of the server knew nothing of the node's stop. Only the node's own callers were refused.

Evidence: test_inbound.TestStopping. test_an_order_that_may_outlast_the_node_was_not_run on the code before: the order with 2.7 s left at 3.0 s after SIGTERM was Answered, that is, run.

Ruled out: refusing all orders from the notice on, or in the last 1.2 s as for callers: what ends before the node is served without risk, and the server may be the only one that is free.

Why it works: DRAINING is not run, so the calling node asks another server without cost and passes this one over for a while. Within the notice time all orders are taken, since other nodes may not have heard of the stop.

--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from papayalock.core.admission import Job, ServerGate, job_of
+from papayalock.core.closing import RETRY_MS
 from papayalock.core.heartbeats import BackendWatch
 from papayalock.dialect import BackendTerms, CallDialect
 from papayalock.messages import Announcement, HopOrder
@@ -117,6 +118,8 @@
                 f'{serving.server} is here, not {order.server}',
             )
         job = job_of(order, now)
+        if self._gate.closing.refuses(job.deadline_at, now):
+            return NoAnswer(Code.DRAINING, 'the node stops', RETRY_MS)
         try:
             async with Slot(self._queue, job):
                 return await self._send(order, call, serving, job)
--- a/test/test_inbound.py
+++ b/test/test_inbound.py
@@ -179,3 +179,31 @@
 
         for header in (b'', b'{', b'[]', msgspec.json.encode({'call': 1})):
             assert asyncio.run(play(header)) == [Code.BAD_REQUEST]
+
+
+class TestStopping:
+    def test_an_order_that_may_outlast_the_node_was_not_run(self):
+        outcome, sent = stopping(3.0, remaining_ms=2700)
+        assert (outcome.code, outcome.arrived) == (Code.DRAINING, False)
+        assert sent == b''
+
+    def test_other_nodes_get_the_time_to_hear_of_the_stop(self):
+        outcome, _ = stopping(2.5, remaining_ms=9000)
+        assert isinstance(outcome, Answered)
+
+    def test_an_order_that_ends_before_the_node_is_run(self):
+        outcome, _ = stopping(5.0, remaining_ms=500)
+        assert isinstance(outcome, Answered)
+
+
+def stopping(after_s: float, **changes):
+    """Returns the outcome of an order at a time of the stop, and what was sent."""
+
+    async def play():
+        side = Side(OK)
+        side.gate.closing.begin(side.clock.now, 6.0)
+        side.clock.now += after_s
+        side.watch.hear(beat(2), side.clock.now)
+        return await side.run(**changes), side.pool.conn.sent
+
+    return asyncio.run(play())
