Refuse queued calls that a stopping node would cut

Callers would see: a call that came within the notice time, and waits for a slot of the node's server, gets one shortly before the node ends and is cut right after it began, which leaves 'unknown'.

Cause: the queue judged a waiting call by its own deadline only.

Evidence: test_inbound.TestStopping on the code before: test_a_queued_call_that_would_be_cut_was_not_run: still waiting (None) 1.1 s before the end, with an end of its own 3.4 s after the node's; test_a_slot_that_is_free_too_late_is_not_given: a slot freed then was given, and the send tried (NOT_CONNECTED of the fake).

Ruled out: JobQueue.expel at the end of the notice, since it refuses those too that can end, and a queued call that is refused is not sent elsewhere (core/again gives up after a wait).

The code is DRAINING then, so the calling node passes this one over.

--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -209,7 +209,8 @@
     def too_late_at(self, job: Job) -> float:
         """Returns the time from which a call is not worth starting."""
         given = job.deadline_at - job.arrived
-        return job.deadline_at - min(self.pace.of(job.route), given / 2)
+        run_s = min(self.pace.of(job.route), given / 2)
+        return self.closing.start_by(job.deadline_at, run_s)
 
     def retry_after_ms(self) -> int:
         """Returns when a refused caller may expect room."""
--- a/papayalock/core/closing.py
+++ b/papayalock/core/closing.py
@@ -46,3 +46,15 @@
         """
         last_call_at = max(self.told_at, self.ends_at - REFUSE_S)
         return now >= last_call_at or self.refuses(deadline_at, now)
+
+    def start_by(self, deadline_at: float, run_s: float) -> float:
+        """Returns when a queued call must start at the latest.
+
+        A run may last longer than expected, so one that the node may cut
+        starts no later than new calls of its callers are taken.
+
+        :param run_s: expected run time
+        """
+        if self.cuts(deadline_at):
+            return self.ends_at - max(run_s, REFUSE_S)
+        return deadline_at - run_s
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -126,7 +126,7 @@
         except Refused as exc:
             if order.may_wait:
                 self._log_refusal(order, exc)
-            return NoAnswer(exc.code, 'no slot in time', exc.retry_after_ms)
+            return self._refused(exc, job)
         except asyncio.CancelledError:
             self._log_abandoned(order, job)
             raise
@@ -188,6 +188,12 @@
         ]
         return Answered(response.status, headers, body)
 
+    def _refused(self, refused: Refused, job: Job) -> NoAnswer:
+        late = refused.code == Code.DEADLINE_BEFORE_RUN
+        if late and self._gate.closing.cuts(job.deadline_at):
+            return NoAnswer(Code.DRAINING, 'the node stops', RETRY_MS)
+        return NoAnswer(refused.code, 'no slot in time', refused.retry_after_ms)
+
     def _log_refusal(self, order: HopOrder, refused: Refused) -> None:
         load = self._gate.load()
         log.info(
--- a/test/test_closing.py
+++ b/test/test_closing.py
@@ -63,3 +63,17 @@
     def test_calls_that_end_before_the_node_are_taken_to_the_end(self):
         assert not closing().refuses(105.59, 105.5)
         assert closing().refuses(105.6, 105.5)
+
+
+class TestQueued:
+    def test_without_a_stop_the_deadline_counts(self):
+        assert Closing().start_by(103.0, 0.5) == 102.5
+
+    def test_a_call_that_ends_before_the_node_may_wait_as_ever(self):
+        assert closing().start_by(105.5, 0.5) == 105.0
+
+    def test_one_that_may_be_cut_must_start_well_before_the_end(self):
+        assert round(closing().start_by(110.0, 0.5), 3) == 104.4
+
+    def test_a_long_one_must_start_sooner(self):
+        assert round(closing().start_by(110.0, 2.0), 3) == 103.6
--- a/test/test_inbound.py
+++ b/test/test_inbound.py
@@ -195,6 +195,58 @@
         outcome, _ = stopping(5.0, remaining_ms=500)
         assert isinstance(outcome, Answered)
 
+    def test_a_queued_call_that_would_be_cut_was_not_run(self):
+        outcome = queued(4.5, remaining_ms=9000)
+        assert (outcome.code, outcome.arrived) == (Code.DRAINING, False)
+
+    def test_a_queued_call_waits_on_while_it_can_end(self):
+        assert queued(4.3, remaining_ms=9000) is None
+        assert queued(4.5, remaining_ms=5500) is None
+
+    def test_a_slot_that_is_free_too_late_is_not_given(self):
+        async def play():
+            side = Side(OK, OK)
+            first, waiting = await fill(side, remaining_ms=9000)
+            side.clock.now += 4.5
+            first.cancel()
+            return await waiting, side.gate.running
+
+        outcome, running = asyncio.run(play())
+        assert outcome.code == Code.DRAINING
+        assert not running
+
+
+async def fill(side: Side, **changes):
+    """Returns a call that holds the only slot of a stopping node, and one that waits."""
+    side.watch.hear(beat(2, slots=1), side.clock.now)
+    side.inbound.refit()
+    side.gate.closing.begin(side.clock.now, 6.0)
+    wants = {'target_ms': 5000, **changes}
+    tasks = [asyncio.create_task(side.run(**wants)) for _ in range(2)]
+    await asyncio.sleep(0)
+    return tasks
+
+
+def queued(after_s: float, **changes):
+    """Returns the outcome of a queued call at a time of the stop, None if it waits."""
+
+    async def play():
+        side = Side()
+        tasks = await fill(side, **changes)
+        assert side.gate.jobs == 2
+        side.clock.now += after_s
+        side.watch.hear(beat(3, slots=1), side.clock.now)
+        side.inbound.refit()
+        await asyncio.sleep(0)
+        _, waiting = tasks
+        outcome = waiting.result() if waiting.done() else None
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return outcome
+
+    return asyncio.run(play())
+
 
 def stopping(after_s: float, **changes):
     """Returns the outcome of an order at a time of the stop, and what was sent."""
