Take no call once a stopping node was quiet

Callers saw: a call that came while the stopping node said goodbye to a control VM (up to 0.2 s) was taken, and its connection ended right after.

Cause: the node waits for a moment without calls, and then still takes calls until it has told a control VM.

Ruled out: closing the listeners first, since calls also come on connections that are open; no goodbye, since other nodes would go on sending.

Why it works: nothing runs between the look at the calls and Closing.end, and from then on every deadline lies past the end, so all are refused as not run.

--- a/papayalock/core/closing.py
+++ b/papayalock/core/closing.py
@@ -27,6 +27,10 @@
         self.ends_at = now + max(0.0, grace_s - EXIT_MARGIN_S)
         self.told_at = min(now + NOTICE_S, self.ends_at)
 
+    def end(self, now: float) -> None:
+        """Ends the node now, if not before; no call is taken from then on."""
+        self.ends_at = min(self.ends_at, now)
+
     def cuts(self, deadline_at: float) -> bool:
         """Whether the node may end before a call with this deadline."""
         return deadline_at >= self.ends_at
--- a/papayalock/node/shutdown.py
+++ b/papayalock/node/shutdown.py
@@ -69,6 +69,7 @@
         self._agent.poke()
         await asyncio.sleep(self._closing.told_at - now)
         clean = await self._quiet()
+        self._closing.end(self._clock.monotonic())
         await self._leave(tasks)
         for listener in listeners:
             listener.close()
--- a/test/test_closing.py
+++ b/test/test_closing.py
@@ -30,6 +30,17 @@
         one.begin(100.0, 0.0)
         assert one.told_at == one.ends_at == 100.0
 
+    def test_a_node_that_was_quiet_ends_sooner(self):
+        one = closing()
+        one.end(103.0)
+        assert one.ends_at == 103.0
+        assert one.refuses(103.1, 103.0)
+
+    def test_the_end_is_never_put_off(self):
+        one = closing()
+        one.end(105.7)
+        assert one.ends_at == 105.6
+
 
 class TestCallers:
     def test_all_calls_are_taken_until_callers_have_been_told(self):
--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -162,7 +162,7 @@
 
 
 class StoppingNode:
-    """A node that stops, is never quiet, and whose calls run elsewhere."""
+    """A node that stops and whose calls run elsewhere."""
 
     def __init__(self, run_s: float) -> None:
         signs = [(0.1 * step, SIGN) for step in range(1, int(run_s * 10))]
@@ -170,8 +170,9 @@
         self.at = Caller(self.far, window_floor=0, timeout_ms=60000)
         self.callers, self.caller = server(self.at.outbound.handle)
         hops, self.hop = server(hold)
+        self.agent = FakeAgent()
         self.shutdown = Shutdown(
-            FakeAgent(),
+            self.agent,
             self.at.outbound,
             self.callers,
             hops,
@@ -182,7 +183,6 @@
     async def call(self, at_s: float, deadline_ms: int) -> bytes:
         """Returns what a caller reads whose call comes at a time of the stop."""
         stop = asyncio.create_task(self.shutdown.run(GRACE_S, [], []))
-        self.hop.conn.data_received(get('/held'))
         head = b'POST /r/x HTTP/1.1\r\nhost: a.example\r\ncontent-length: 0\r\n'
         remaining = b'%b: %d\r\n\r\n' % (REMAINING_HEADER, deadline_ms)
         await asyncio.sleep(at_s)
@@ -195,7 +195,9 @@
     """Returns the status line and the result code of a call's answer."""
 
     async def play():
-        return await StoppingNode(run_s).call(at_s, deadline_ms)
+        node = StoppingNode(run_s)
+        node.hop.conn.data_received(get('/held'))
+        return await node.call(at_s, deadline_ms)
 
     return fast(play)
 
@@ -221,6 +223,14 @@
     def test_shortly_before_the_end_none_is_taken(self):
         assert b'105 DRAINING' in answer(4.5, 500)
 
+    def test_once_the_node_was_quiet_none_is_taken(self):
+        async def play():
+            node = StoppingNode(run_s=0.5)
+            node.agent.leave_s = 0.1
+            return await node.call(2.65, 1000)
+
+        assert b'105 DRAINING' in fast(play)
+
 
 class TestReadiness:
     def test_a_node_that_stops_is_not_ready_at_once(self):
