Send answers to their end before a node stops

Callers would see: the end of a long answer is missing when it was handed to a slow connection right before the node ended.

Cause: a connection counted as idle once its answer was handed to the transport, so the stop aborted it with bytes still in the buffer. Idle connections were aborted as well, right after their close.

Evidence: test_shutdown.TestShutdown.test_an_answer_is_sent_to_its_end and test_connections_without_a_call_are_closed_in_order fail before.

Ruled out: a graceful close at the end, since the process ends without flushing the transport's buffer.

Why it works: a connection is busy until its buffer is empty, so the node is not quiet before, and only busy connections are aborted.

--- a/papayalock/node/listener.py
+++ b/papayalock/node/listener.py
@@ -60,7 +60,7 @@
 
     @property
     def busy(self) -> bool:
-        """Whether any call is under way."""
+        """Whether any call is under way, or an answer not yet sent."""
         return any(conn.busy for conn in self.conns)
 
     def make_conn(self) -> 'ServerConn':
@@ -91,7 +91,8 @@
             self._close_idle()
         clean = not self.conns
         for conn in list(self.conns):
-            conn.abort()
+            if conn.busy:
+                conn.abort()
         return clean
 
 
@@ -183,8 +184,11 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a call is under way or being read."""
-        return bool(self._turns or self._head_bytes)
+        """Whether a call is under way or being read, or an answer being sent."""
+        if self._turns or self._head_bytes:
+            return True
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
 
     def close_if_idle(self) -> None:
         """Closes the connection when no call is under way."""
--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -123,6 +123,30 @@
         assert clean
         assert transport.written.endswith(b'ok')
 
+    def test_an_answer_is_sent_to_its_end(self):
+        async def play():
+            node = Node()
+            transport = node.hop.transport
+            transport.unsent = 70000
+            loop = asyncio.get_running_loop()
+            loop.call_later(3.0, setattr, transport, 'unsent', 0)
+            return await node.stop(), transport.aborted
+
+        (clean, took), aborted = fast(play)
+        assert clean
+        assert not aborted
+        assert took >= 3.0
+
+    def test_connections_without_a_call_are_closed_in_order(self):
+        async def play():
+            node = Node()
+            await node.stop()
+            return node.caller.transport, node.hop.transport
+
+        for transport in fast(play):
+            assert transport.closed
+            assert not transport.aborted
+
     def test_a_call_whose_caller_left_is_waited_for(self):
         async def play():
             node = Node()
--- a/test/wires.py
+++ b/test/wires.py
@@ -65,6 +65,10 @@
         self.aborted = False
         self.closed = False
         self.paused = False
+        self.unsent = 0
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
 
     def write(self, data: bytes) -> None:
         self.written += data
