Merge the stop of a node that cuts no call

Refuses, as not run, what a stopping node would cut: calls of its own callers, orders of other nodes, queued calls and those of its last 0.2 s; answers are sent to their end.

--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -11,6 +11,7 @@
 import math
 from dataclasses import dataclass
 
+from papayalock.core.closing import Closing
 from papayalock.core.limits import Admittance, Queued, Shed, Started
 from papayalock.messages import HopOrder, ServerLoad
 from papayalock.result import Code
@@ -131,6 +132,7 @@
     def __init__(self) -> None:
         """Starts closed: without slots until a server announces itself."""
         self.slots = 0
+        self.closing = Closing()
         self.pace = Pace()
         self.failing = 0.0
         self.usage = RankUsage()
@@ -207,7 +209,8 @@
     def too_late_at(self, job: Job) -> float:
         """Returns the time from which a call is not worth starting."""
         given = job.deadline_at - job.arrived
-        return job.deadline_at - min(self.pace.of(job.route), given / 2)
+        run_s = min(self.pace.of(job.route), given / 2)
+        return self.closing.start_by(job.deadline_at, run_s)
 
     def retry_after_ms(self) -> int:
         """Returns when a refused caller may expect room."""
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from papayalock.core.admission import Job, ServerGate, job_of
+from papayalock.core.closing import RETRY_MS
 from papayalock.core.heartbeats import BackendWatch
 from papayalock.dialect import BackendTerms, CallDialect
 from papayalock.messages import Announcement, HopOrder
@@ -117,13 +118,15 @@
                 f'{serving.server} is here, not {order.server}',
             )
         job = job_of(order, now)
+        if self._gate.closing.refuses(job.deadline_at, now):
+            return NoAnswer(Code.DRAINING, 'the node stops', RETRY_MS)
         try:
             async with Slot(self._queue, job):
                 return await self._send(order, call, serving, job)
         except Refused as exc:
             if order.may_wait:
                 self._log_refusal(order, exc)
-            return NoAnswer(exc.code, 'no slot in time', exc.retry_after_ms)
+            return self._refused(exc, job)
         except asyncio.CancelledError:
             self._log_abandoned(order, job)
             raise
@@ -185,6 +188,12 @@
         ]
         return Answered(response.status, headers, body)
 
+    def _refused(self, refused: Refused, job: Job) -> NoAnswer:
+        late = refused.code == Code.DEADLINE_BEFORE_RUN
+        if late and self._gate.closing.cuts(job.deadline_at):
+            return NoAnswer(Code.DRAINING, 'the node stops', RETRY_MS)
+        return NoAnswer(refused.code, 'no slot in time', refused.retry_after_ms)
+
     def _log_refusal(self, order: HopOrder, refused: Refused) -> None:
         load = self._gate.load()
         log.info(
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -11,6 +11,7 @@
     next_step,
 )
 from papayalock.core.budget import SharedBudget
+from papayalock.core.closing import RETRY_MS, Closing
 from papayalock.core.hosts import Splitter
 from papayalock.core.placing import Placement
 from papayalock.dialect import CallDialect
@@ -53,10 +54,11 @@
         clock: Clock,
         metrics: HostMetrics,
         lag: LoopLag,
+        closing: Closing,
     ) -> None:
         """Binds the parts."""
         self._settings = settings
-        self.closing = False
+        self._closing = closing
         self._agent = agent
         self._placement: Placement = agent.placement
         self._inbound = inbound
@@ -101,8 +103,6 @@
         return outcome
 
     def _plan(self, call: Call) -> Plan | NoAnswer:
-        if self.closing:
-            return NoAnswer(Code.DRAINING, 'the node stops', NOT_READY_RETRY_MS)
         if not self._agent.configuration.version:
             return NoAnswer(
                 Code.NOT_CONFIGURED, 'no routes yet', NO_ROUTES_RETRY_MS
@@ -112,7 +112,10 @@
         route = self._agent.hosts.match(host.split(':')[0], path)
         if route is None:
             return NoAnswer(Code.NO_ROUTE, f'no route for {host}{path}')
-        return self._plan_route(call, route)
+        plan = self._plan_route(call, route)
+        if self._closing.refuses_caller(plan.deadline_at, plan.arrived):
+            return NoAnswer(Code.DRAINING, 'the node stops', RETRY_MS)
+        return plan
 
     def _plan_route(self, call: Call, route: HostRoute) -> Plan:
         now = self._clock.monotonic()
--- a/test/test_inbound.py
+++ b/test/test_inbound.py
@@ -179,3 +179,83 @@
 
         for header in (b'', b'{', b'[]', msgspec.json.encode({'call': 1})):
             assert asyncio.run(play(header)) == [Code.BAD_REQUEST]
+
+
+class TestStopping:
+    def test_an_order_that_may_outlast_the_node_was_not_run(self):
+        outcome, sent = stopping(3.0, remaining_ms=2700)
+        assert (outcome.code, outcome.arrived) == (Code.DRAINING, False)
+        assert sent == b''
+
+    def test_other_nodes_get_the_time_to_hear_of_the_stop(self):
+        outcome, _ = stopping(2.5, remaining_ms=9000)
+        assert isinstance(outcome, Answered)
+
+    def test_an_order_that_ends_before_the_node_is_run(self):
+        outcome, _ = stopping(5.0, remaining_ms=500)
+        assert isinstance(outcome, Answered)
+
+    def test_a_queued_call_that_would_be_cut_was_not_run(self):
+        outcome = queued(4.5, remaining_ms=9000)
+        assert (outcome.code, outcome.arrived) == (Code.DRAINING, False)
+
+    def test_a_queued_call_waits_on_while_it_can_end(self):
+        assert queued(4.3, remaining_ms=9000) is None
+        assert queued(4.5, remaining_ms=5500) is None
+
+    def test_a_slot_that_is_free_too_late_is_not_given(self):
+        async def play():
+            side = Side(OK, OK)
+            first, waiting = await fill(side, remaining_ms=9000)
+            side.clock.now += 4.5
+            first.cancel()
+            return await waiting, side.gate.running
+
+        outcome, running = asyncio.run(play())
+        assert outcome.code == Code.DRAINING
+        assert not running
+
+
+async def fill(side: Side, **changes):
+    """Returns a call that holds the only slot of a stopping node, and one that waits."""
+    side.watch.hear(beat(2, slots=1), side.clock.now)
+    side.inbound.refit()
+    side.gate.closing.begin(side.clock.now, 6.0)
+    wants = {'target_ms': 5000, **changes}
+    tasks = [asyncio.create_task(side.run(**wants)) for _ in range(2)]
+    await asyncio.sleep(0)
+    return tasks
+
+
+def queued(after_s: float, **changes):
+    """Returns the outcome of a queued call at a time of the stop, None if it waits."""
+
+    async def play():
+        side = Side()
+        tasks = await fill(side, **changes)
+        assert side.gate.jobs == 2
+        side.clock.now += after_s
+        side.watch.hear(beat(3, slots=1), side.clock.now)
+        side.inbound.refit()
+        await asyncio.sleep(0)
+        _, waiting = tasks
+        outcome = waiting.result() if waiting.done() else None
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return outcome
+
+    return asyncio.run(play())
+
+
+def stopping(after_s: float, **changes):
+    """Returns the outcome of an order at a time of the stop, and what was sent."""
+
+    async def play():
+        side = Side(OK)
+        side.gate.closing.begin(side.clock.now, 6.0)
+        side.clock.now += after_s
+        side.watch.hear(beat(2), side.clock.now)
+        return await side.run(**changes), side.pool.conn.sent
+
+    return asyncio.run(play())
