Tell the caller of a try that may have run before a refusal that came later

Callers of a register-routed, repeatable call were told 103 SHED, which says that the call was not run, after a first try that had been sent and then broke or fell silent.

Cause: Relay._run_repeatable returned the outcome of the last try alone. Evidence, new test/test_relay.py on the code before this change, a first try that breaks (falls silent) and a second that is refused: assert <Code.SHED: 103> == <Code.UNKNOWN_BROKEN: 201> assert <Code.SHED: 103> == <Code.UNKNOWN_TIMEOUT: 200> Ruled out: the other order (refused, then broken) was told right, and so were two refusals; both are tested. The host-routed path keeps the right one in final_outcome, and the at-most-once path repeats only what did not run.

The new final_failure keeps the first failure that may have run; a refusal is told only when every try was refused.

--- a/papayalock/node/relay.py
+++ b/papayalock/node/relay.py
@@ -23,6 +23,7 @@
     Failed,
     Trip,
     TryOutcome,
+    final_failure,
     parse_attempt,
 )
 from papayalock.ports import Clock
@@ -153,17 +154,19 @@
         budget = self._budget(trip.service)
         budget.called()
         avoid: frozenset[str] = frozenset()
+        kept: Failed | None = None
         while True:
             server = self._choose(trip, avoid)
             outcome = await self._try(trip, server)
             if isinstance(outcome, Delivered):
                 return outcome
+            kept = final_failure(kept, outcome)
             trip.tries += 1
             decision = self._policy.decide(
                 self._attempted(trip, outcome), budget, self._clock.monotonic()
             )
             if not isinstance(decision, Again):
-                return outcome
+                return kept
             self._counters.retried()
             if server is not None:
                 avoid = avoid | {server.endpoint.server}
--- a/papayalock/node/trip.py
+++ b/papayalock/node/trip.py
@@ -61,6 +61,17 @@
 TryOutcome = Delivered | Failed
 
 
+def final_failure(earlier: Failed | None, newer: Failed) -> Failed:
+    """Returns what the caller is told after two failed tries of one call.
+
+    A try that may have run goes before one that was refused, since the
+    refusal of one try says nothing of the other.
+    """
+    if earlier is None or earlier.code.not_run:
+        return newer
+    return earlier
+
+
 @dataclass(slots=True, frozen=True)
 class Attempt:
     """The one run of a request that may not be repeated."""
--- /dev/null
+++ b/test/test_relay.py
@@ -0,0 +1,162 @@
+"""A register-routed call at a node: tries, silence and what ends a call."""
+
+import asyncio
+import random
+
+from papayalock.core.attempts import AttemptLog
+from papayalock.core.disciplines import Fifo
+from papayalock.core.limits import Gate
+from papayalock.core.retry import RetryPolicy
+from papayalock.core.routing import Balancer, Server
+from papayalock.messages import Announcement, Endpoint
+from papayalock.node.agent import Backend
+from papayalock.node.counters import Counters
+from papayalock.node.dispatch import Dispatcher
+from papayalock.node.gate import GateQueue
+from papayalock.node.http import Call, Reply
+from papayalock.node.relay import Relay
+from papayalock.result import Code
+from test.test_dispatch import DOCUMENTS, PART, TABLE, Writer
+from test.test_outbound import GOOD, SHED, FarNodes, Script
+from test.wires import FastLoop, LoopClock
+
+DEADLINE_S = 2.5  # of the route of DOCUMENTS
+SILENCE_S = 0.3
+PROGRESS_S = 0.5
+ALIVE_S = 0.1
+HEAD = GOOD[:-2]
+BODY = GOOD[-2:]
+BROKEN = None
+ZONES = 'zy'  # of the far servers, the node's own first
+
+
+class FakeAgent:
+    """What a call needs of the agent."""
+
+    routes = TABLE
+
+    def __init__(self) -> None:
+        self.backend = Backend()
+
+    def touch(self, service: str) -> None:
+        """Notes nothing."""
+
+
+class Node:
+    """A node whose far ends play their scripts in the order of use."""
+
+    def __init__(
+        self, *scripts: Script, servers: int = 2, percent: int = 0, floor: int
+    ) -> None:
+        clock = LoopClock()
+        now = clock.monotonic()
+        self.far = FarNodes(*scripts)
+        self.agent = FakeAgent()
+        self.balancer = Balancer(
+            'z', random.Random(1), ramp_ms=0, eject_ms=1000, eject_percent=50
+        )
+        for number in range(servers):
+            self.balancer.upsert(endpoint(f'n{number}', ZONES[number]), now)
+        gate = Gate(Fifo(), 10)
+        queue = GateQueue(gate, clock)
+        queue.resize(PART)
+        dispatcher = Dispatcher(
+            self.agent,
+            queue,
+            self.balancer,
+            AttemptLog(7, 100),
+            self.far,
+            clock,
+            progress_ms=int(PROGRESS_S * 1000),
+            silence_ms=int(SILENCE_S * 1000),
+            answer_bytes=64,
+        )
+        self.relay = Relay(
+            self.agent,
+            self.balancer,
+            gate,
+            dispatcher,
+            None,
+            RetryPolicy(2, 1, random.Random(1)),
+            None,
+            Counters(),
+            clock,
+            alive_ms=int(ALIVE_S * 1000),
+            budget_percent=percent,
+            budget_floor=floor,
+        )
+        self.writer = Writer()
+
+    def serve(self) -> None:
+        """Puts a backend server beside the node."""
+        self.agent.backend.announcement = Announcement(
+            server='own', service='enrol-desk', address='own'
+        )
+        self.balancer.upsert(endpoint('own'), LoopClock().monotonic())
+
+    async def call(self, *headers: tuple[bytes, bytes]) -> float:
+        """Handles one call and returns how long that took."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        call = Call(
+            b'POST',
+            DOCUMENTS.encode(),
+            [(b'host', b'enrol-desk'), *headers],
+            b'{}',
+        )
+        await self.relay.handle(call, Reply(self.writer, keep_alive=True))
+        return loop.time() - began
+
+    def server(self, number: int = 0) -> Server:
+        """Returns a far server in the order of use."""
+        return self.balancer.servers[self.far.asked[number]]
+
+    @property
+    def outcome(self) -> Code:
+        """The outcome that the caller was told."""
+        _, _, rest = self.writer.written.partition(b'papayalock-outcome: ')
+        return Code(int(rest.split(b' ', 1)[0]))
+
+
+def endpoint(name: str, zone: str = 'z') -> Endpoint:
+    return Endpoint(
+        server=name,
+        service='enrol-desk',
+        zone=zone,
+        address=name,
+        incarnation=7,
+    )
+
+
+HOP = (b'papayalock-hop', b'1')
+INNER = (b'papayalock-depth', b'1')
+
+
+def play(*scripts: Script, headers=(), own: bool = False, **changes):
+    async def run() -> tuple[Node, float]:
+        node = Node(*scripts, **{'floor': 10, **changes})
+        if own:
+            node.serve()
+        return node, await node.call(*headers)
+
+    with asyncio.Runner(loop_factory=FastLoop) as runner:
+        return runner.run(run())
+
+
+class TestWhatIsTold:
+    def test_a_refusal_does_not_hide_that_an_earlier_try_may_have_run(self):
+        node, took = play([], [(0.01, SHED)])
+        assert node.outcome == Code.UNKNOWN_TIMEOUT
+        assert took < SILENCE_S + 0.1
+
+    def test_nor_does_it_hide_a_broken_try(self):
+        node, _ = play([(0.01, BROKEN)], [(0.01, SHED)])
+        assert node.outcome == Code.UNKNOWN_BROKEN
+
+    def test_a_try_that_may_have_run_goes_before_an_earlier_refusal(self):
+        node, _ = play([(0.01, SHED)], [(0.01, BROKEN)])
+        assert node.outcome == Code.UNKNOWN_BROKEN
+
+    def test_two_refusals_are_a_refusal(self):
+        node, _ = play([(0.01, SHED)], [(0.01, SHED)])
+        assert node.outcome == Code.SHED
