Repeat a call elsewhere that failed at the node's own server

Callers whose call failed at the backend server beside their node got their second try at the same server, though others were ready.

Cause: Relay._run_repeatable noted only servers of other nodes as tried; after a failure at its own gate the set of tried servers was empty, so that _choose preferred its own gate again. Evidence, on the code before this change: assert ['own', 'own'] == ['own', 'n0'] Ruled out: the balancer, which does pass over the servers it is told of.

The own server's name is now among those tried. Without another server the own one is still tried again, as before, which is tested.

--- a/papayalock/node/relay.py
+++ b/papayalock/node/relay.py
@@ -168,8 +168,7 @@
             if not isinstance(decision, Again):
                 return kept
             self._counters.retried()
-            if server is not None:
-                avoid = avoid | {server.endpoint.server}
+            avoid = avoid | self._tried(server)
             await asyncio.sleep(decision.delay_ms / MS)
 
     async def _try(self, trip: Trip, server: Server | None) -> TryOutcome:
@@ -192,6 +191,13 @@
             retrying=bool(avoid),
         )
 
+    def _tried(self, server: Server | None) -> frozenset[str]:
+        """Returns the name of the server of a try; None is this node's own."""
+        if server is not None:
+            return frozenset((server.endpoint.server,))
+        own = self._agent.backend.serving
+        return frozenset((own.server,)) if own is not None else frozenset()
+
     def _attempted(self, trip: Trip, failed: Failed) -> Attempted:
         return Attempted(
             code=failed.code,
--- a/test/test_relay.py
+++ b/test/test_relay.py
@@ -143,6 +143,18 @@
         return runner.run(run())
 
 
+class TestOwnServer:
+    def test_a_try_that_failed_there_is_repeated_elsewhere(self):
+        node, _ = play([(0.01, BROKEN)], [(0.01, GOOD)], own=True)
+        assert node.outcome == Code.DONE
+        assert node.far.asked == ['own', 'n0']
+
+    def test_it_is_tried_again_when_there_is_no_other(self):
+        node, _ = play([(0.01, BROKEN)], [(0.01, GOOD)], own=True, servers=0)
+        assert node.outcome == Code.DONE
+        assert node.far.asked == ['own', 'own']
+
+
 class TestWhatIsTold:
     def test_a_refusal_does_not_hide_that_an_earlier_try_may_have_run(self):
         node, took = play([], [(0.01, SHED)])
