Bear a silent node or server until the deadline, unless a retry is granted

Callers of a register-routed, repeatable call got 200 UNKNOWN_TIMEOUT (504) after 300 ms of silence of the far node, or 2000 ms of the backend server, well before their deadline, though the server ran the call and would have answered. An answer that paused for as long between two pieces was cut.

Cause: Dispatcher._timeout_ms bounded the connection by relay.silence_ms or relay.progress_ms; only after that was RetryPolicy asked, and without a further try (budget spent, last try, a call below another) the outcome stood.

The new Watch bounds a try by the deadline. At the silence it tells the balancer, once, and asks the trip whether to give the try up: the relay does when another server is there and the policy and budget grant the try, which is then spent. A gate, which decides on no tries, stops its signs of life, so that the calling node sees the silence and decides; its own try goes on. A piece of a body may be awaited until the deadline, and after it, as before, for as long as the far end is not silent.

--- a/papayalock/core/routing.py
+++ b/papayalock/core/routing.py
@@ -224,6 +224,10 @@
         elif healthy is False:
             self._failed(server, now)
 
+    def suspect(self, server: Server, now: float) -> None:
+        """Notes that a server is silent on a call that still goes on."""
+        self._failed(server, now)
+
     def shed(self, server: Server, now: float, retry_after_ms: int) -> None:
         """Notes that a server refused for lack of room."""
         key = (server.endpoint.service, server.endpoint.zone)
--- a/papayalock/node/alive.py
+++ b/papayalock/node/alive.py
@@ -26,16 +26,24 @@
         self._interval = alive_ms / MS
         self._timer: asyncio.TimerHandle | None = None
 
-    def __enter__(self) -> None:
+    def __enter__(self) -> 'SignsOfLife':
         """Starts the timer; a call shorter than the interval costs no sign."""
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self._interval, self._send)
+        self._start()
+        return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """Stops the timer."""
+        """Stops the signs."""
+        self.stop()
+
+    def stop(self) -> None:
+        """Sends no further sign."""
         if self._timer is not None:
             self._timer.cancel()
 
+    def _start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(self._interval, self._send)
+
     def _send(self) -> None:
         self._reply.sign_of_life()
-        self.__enter__()
+        self._start()
--- a/papayalock/node/dispatch.py
+++ b/papayalock/node/dispatch.py
@@ -23,6 +23,7 @@
     Trip,
     TryOutcome,
 )
+from papayalock.node.watch import Watch
 from papayalock.pool import Pool
 from papayalock.ports import Clock
 from papayalock.result import Code
@@ -53,9 +54,9 @@
     ) -> None:
         """Binds the parts.
 
-        :param progress_ms: longest silence of a backend server in a try that
-            may be repeated
-        :param silence_ms: silence after which a connection to a node is dead
+        :param progress_ms: time without a byte after which a backend server
+            counts as silent
+        :param silence_ms: the same for another node
         :param answer_bytes: largest answer recorded
         """
         self._agent = agent
@@ -114,7 +115,8 @@
         req = Request(
             trip.call.method, trip.call.target, headers, trip.call.body
         )
-        return await self._exchange(trip, req, address, _backend_verdict)
+        watch = self._watch(trip, address, None)
+        return await self._exchange(trip, req, watch, _backend_verdict)
 
     # The hop: to the node in front of the chosen backend server.
 
@@ -129,23 +131,26 @@
         req = Request(
             trip.call.method, trip.call.target, headers, trip.call.body
         )
+        watch = self._watch(trip, server.endpoint.address, server)
         self._balancer.started(server)
         outcome: TryOutcome | None = None
         try:
-            outcome = await self._exchange(
-                trip, req, server.endpoint.address, _node_verdict, server
-            )
+            outcome = await self._exchange(trip, req, watch, _node_verdict)
         finally:
-            self._note(server, outcome)
+            self._note(server, outcome, watch)
         return outcome
 
-    def _note(self, server: Server, outcome: TryOutcome | None) -> None:
+    def _note(
+        self, server: Server, outcome: TryOutcome | None, watch: Watch
+    ) -> None:
         now = self._clock.monotonic()
         healthy: bool | None = None
         if isinstance(outcome, Delivered):
             healthy = outcome.whole
         elif isinstance(outcome, Failed):
             healthy = self._judge(server, outcome, now)
+        if healthy is False and (watch.silent or watch.alive):
+            healthy = None  # noted at the silence, or there was none
         self._balancer.finished(server, now, healthy=healthy)
 
     def _judge(self, server: Server, failed: Failed, now: float) -> bool | None:
@@ -165,38 +170,46 @@
     def _remaining(self, trip: Trip) -> bytes:
         return b'%d' % forwarded_ms(trip.deadline, self._clock.monotonic())
 
-    def _timeout_ms(self, trip: Trip, *, to_node: bool) -> int:
-        """Returns the longest silence to bear, in ms.
+    def _watch(self, trip: Trip, address: str, server: Server | None) -> Watch:
+        """Returns the watch of one try.
 
         A node gives signs of life, so its silence is told from a slow answer.
-        An attempt is not repeated, so it waits for as long as there is time.
         """
-        remaining = max(1, trip.deadline.remaining_ms(self._clock.monotonic()))
-        if trip.attempt is not None:
-            return remaining
-        limit = self._silence_ms if to_node else self._progress_ms
-        return min(limit, remaining)
+        return Watch(
+            trip,
+            address,
+            server,
+            self._clock,
+            silence_ms=self._progress_ms
+            if server is None
+            else self._silence_ms,
+            suspect=self._suspect,
+        )
+
+    def _suspect(self, watch: Watch) -> None:
+        """Notes that a far end is silent; the try there may go on."""
+        self._pool.drop(watch.address)
+        if watch.server is not None:
+            self._balancer.suspect(watch.server, self._clock.monotonic())
 
     async def _exchange(
-        self,
-        trip: Trip,
-        req: Request,
-        address: str,
-        verdict: Verdict,
-        server: Server | None = None,
+        self, trip: Trip, req: Request, watch: Watch, verdict: Verdict
     ) -> TryOutcome:
         try:
-            conn = await self._connect(trip, address)
+            conn = await self._connect(trip, watch.address)
         except WireError as exc:
             return Failed(exc.code, str(exc))
         try:
-            return await self._call(trip, req, conn, verdict, server)
+            return await self._call(trip, req, conn, verdict, watch)
         except WireError as exc:
             if exc.code == Code.UNKNOWN_TIMEOUT:
-                self._pool.drop(address)
+                self._pool.drop(watch.address)
             return Failed(exc.code, str(exc))
+        except TimeoutError:
+            reason = 'silent' if trip.again else 'the deadline has passed'
+            return Failed(Code.UNKNOWN_TIMEOUT, reason)
         finally:
-            self._pool.give(address, conn)
+            self._pool.give(watch.address, conn)
 
     async def _call(
         self,
@@ -204,17 +217,16 @@
         req: Request,
         conn: ClientConn,
         verdict: Verdict,
-        server: Server | None,
+        watch: Watch,
     ) -> TryOutcome:
-        expect = trip.attempt is not None and conn.used
-        timeout_ms = self._timeout_ms(trip, to_node=server is not None)
-        response = await conn.call(req, timeout_ms, expect=expect)
+        response = await watch.head(conn, req)
         failed = verdict(response, trip)
-        if server is not None:
-            self._note_load(server, response)
+        if watch.server is not None:
+            self._note_load(watch.server, response)
         if failed is None:
-            return await self._deliver(trip, response, conn)
-        await response.read_all(self._answer_bytes)
+            return await self._deliver(trip, response, conn, watch)
+        async with watch.patience():
+            await response.read_all(self._answer_bytes)
         return failed
 
     async def _connect(self, trip: Trip, address: str) -> ClientConn:
@@ -231,7 +243,11 @@
             server.load_at = self._clock.monotonic()
 
     async def _deliver(
-        self, trip: Trip, response: Response, conn: ClientConn
+        self,
+        trip: Trip,
+        response: Response,
+        conn: ClientConn,
+        watch: Watch,
     ) -> Delivered:
         """Passes an answer on; one that ends short cuts the caller's connection."""
         headers = [
@@ -251,10 +267,10 @@
             return Delivered()
         trip.reply.head(response.status, headers, response.length)
         try:
-            while piece := await response.read():
+            while piece := await watch.read(response):
                 recorded.add(piece)
                 await trip.reply.piece(piece)
-        except (WireError, asyncio.CancelledError) as exc:
+        except (WireError, TimeoutError, asyncio.CancelledError) as exc:
             conn.close()
             trip.reply.abort()
             if isinstance(exc, asyncio.CancelledError):
--- a/papayalock/node/relay.py
+++ b/papayalock/node/relay.py
@@ -3,10 +3,17 @@
 import asyncio
 import logging
 from collections.abc import Coroutine
+from functools import partial
 from typing import Any
 
 from papayalock.core.limits import Gate
-from papayalock.core.retry import Again, Attempted, RetryBudget, RetryPolicy
+from papayalock.core.retry import (
+    Again,
+    Attempted,
+    RetryBudget,
+    RetryDecision,
+    RetryPolicy,
+)
 from papayalock.core.routing import Balancer, Server
 from papayalock.node.admin import ADMIN_PREFIX, Admin
 from papayalock.node.agent import Agent
@@ -95,7 +102,8 @@
         if failed is not None:
             return failed
         if trip.call.header(HOP_HEADER):
-            with SignsOfLife(trip.reply, self._alive_ms):
+            with SignsOfLife(trip.reply, self._alive_ms) as signs:
+                trip.on_silent = partial(_show_silence, signs)
                 return await self._receive(trip)
         if trip.route.repeatable:
             return await self._run_repeatable(trip)
@@ -157,20 +165,34 @@
         kept: Failed | None = None
         while True:
             server = self._choose(trip, avoid)
+            avoid = avoid | self._tried(server)
+            trip.tries += 1
+            trip.again = None
+            trip.on_silent = partial(self._gives_up, trip, avoid, budget)
             outcome = await self._try(trip, server)
             if isinstance(outcome, Delivered):
                 return outcome
             kept = final_failure(kept, outcome)
-            trip.tries += 1
-            decision = self._policy.decide(
-                self._attempted(trip, outcome), budget, self._clock.monotonic()
-            )
+            decision = trip.again or self._decide(trip, outcome.code, budget)
             if not isinstance(decision, Again):
                 return kept
             self._counters.retried()
-            avoid = avoid | self._tried(server)
             await asyncio.sleep(decision.delay_ms / MS)
 
+    def _gives_up(
+        self, trip: Trip, avoid: frozenset[str], budget: RetryBudget
+    ) -> bool:
+        """Whether a silent try is given up, since another is granted."""
+        other = self._balancer.choose(
+            trip.part, self._clock.monotonic(), avoid=avoid, retrying=True
+        )
+        if other is None:
+            return False
+        decision = self._decide(trip, Code.UNKNOWN_TIMEOUT, budget)
+        if isinstance(decision, Again):
+            trip.again = decision
+        return trip.again is not None
+
     async def _try(self, trip: Trip, server: Server | None) -> TryOutcome:
         if server is not None and not self._is_own(server):
             return await self._dispatcher.to_server(trip, server)
@@ -198,14 +220,18 @@
         own = self._agent.backend.serving
         return frozenset((own.server,)) if own is not None else frozenset()
 
-    def _attempted(self, trip: Trip, failed: Failed) -> Attempted:
-        return Attempted(
-            code=failed.code,
+    def _decide(
+        self, trip: Trip, code: Code, budget: RetryBudget
+    ) -> RetryDecision:
+        now = self._clock.monotonic()
+        attempted = Attempted(
+            code=code,
             tries=trip.tries,
             repeatable=trip.route.repeatable,
             outermost=trip.outermost,
-            remaining_ms=trip.deadline.remaining_ms(self._clock.monotonic()),
+            remaining_ms=trip.deadline.remaining_ms(now),
         )
+        return self._policy.decide(attempted, budget, now)
 
     def _own_serves(self, trip: Trip) -> bool:
         known = self._agent.backend.serving
@@ -226,6 +252,12 @@
         return budget
 
 
+def _show_silence(signs: SignsOfLife) -> bool:
+    """Lets the calling node see that the server is silent; the try goes on."""
+    signs.stop()
+    return False
+
+
 def _is_ambiguous(path: str) -> bool:
     lowered = path.lower()
     return (
--- a/papayalock/node/trip.py
+++ b/papayalock/node/trip.py
@@ -2,9 +2,11 @@
 
 import hashlib
 import secrets
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from papayalock.core.deadlines import Deadline, effective_deadline
+from papayalock.core.retry import Again
 from papayalock.messages import Answer, Part, Route
 from papayalock.node.http import Call, Reply
 from papayalock.result import Code
@@ -59,6 +61,7 @@
 
 
 TryOutcome = Delivered | Failed
+OnSilent = Callable[[], bool]  # whether a silent try is given up for another
 
 
 def final_failure(earlier: Failed | None, newer: Failed) -> Failed:
@@ -97,15 +100,21 @@
     return Attempt(name, int(incarnation))
 
 
+def _stay() -> bool:
+    return False
+
+
 class Trip:
     """A call with its route, deadline and place in the call tree."""
 
     __slots__ = (
+        'again',
         'attempt',
         'call',
         'caller',
         'deadline',
         'depth',
+        'on_silent',
         'part',
         'path',
         'recorded',
@@ -128,6 +137,8 @@
         self.attempt: Attempt | None = None
         self.recorded: Answer | None = None
         self.tries = 0
+        self.again: Again | None = None  # granted while a try was silent
+        self.on_silent: OnSilent = _stay
 
     def bind(self, part: Part, route: Route, now: float) -> None:
         """Sets the route and from it the deadline."""
--- a/test/test_relay.py
+++ b/test/test_relay.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import pytest
+
 from papayalock.core.attempts import AttemptLog
 from papayalock.core.disciplines import Fifo
 from papayalock.core.limits import Gate
@@ -17,7 +19,7 @@
 from papayalock.node.relay import Relay
 from papayalock.result import Code
 from test.test_dispatch import DOCUMENTS, PART, TABLE, Writer
-from test.test_outbound import GOOD, SHED, FarNodes, Script
+from test.test_outbound import GOOD, SHED, SIGN, FarNodes, Script
 from test.wires import FastLoop, LoopClock
 
 DEADLINE_S = 2.5  # of the route of DOCUMENTS
@@ -143,6 +145,123 @@
         return runner.run(run())
 
 
+class TestSilentNode:
+    def test_without_a_budget_the_call_goes_on(self):
+        node, took = play([(0.9, GOOD)], floor=0)
+        assert node.outcome == Code.DONE
+        assert 0.89 < took < 1.0
+
+    def test_a_call_below_another_call_goes_on(self):
+        node, took = play([(0.9, GOOD)], headers=[INNER])
+        assert node.outcome == Code.DONE
+        assert took > 0.89
+
+    def test_without_another_server_the_call_goes_on(self):
+        node, took = play([(0.9, GOOD)], servers=1)
+        assert node.outcome == Code.DONE
+        assert took > 0.89
+
+    def test_it_is_given_up_for_another_try(self):
+        node, took = play([(0.9, GOOD)], [(0.05, GOOD)])
+        assert node.outcome == Code.DONE
+        assert took < SILENCE_S + 0.1
+        assert node.far.conns[0].closed
+        assert len(set(node.far.asked)) == 2
+
+    def test_the_last_try_goes_on(self):
+        node, took = play([], [(0.9, GOOD)])
+        assert node.outcome == Code.DONE
+        assert took > SILENCE_S + 0.89
+
+    def test_a_try_granted_at_the_silence_costs_one_of_the_budget(self):
+        node, _ = play([], [(0.05, GOOD)], floor=1)
+        assert node.outcome == Code.DONE
+        assert len(node.far.asked) == 2
+
+    def test_silence_to_the_end_is_unknown_at_the_deadline(self):
+        node, took = play([], floor=0)
+        assert node.outcome == Code.UNKNOWN_TIMEOUT
+        assert DEADLINE_S - 0.01 < took < DEADLINE_S + 0.1
+        assert node.far.conns[0].closed
+
+    def test_a_break_after_the_silence_ends_the_try(self):
+        node, took = play([(0.9, BROKEN)], floor=0)
+        assert node.outcome == Code.UNKNOWN_BROKEN
+        assert took < 1.0
+
+    @pytest.mark.parametrize('pause_s', [SILENCE_S + 0.3, DEADLINE_S - 0.3])
+    def test_a_pause_within_an_answer_does_not_cut_it(self, pause_s):
+        node, _ = play([(0.1, HEAD), (0.1 + pause_s, BODY)])
+        assert node.writer.written.endswith(BODY)
+        assert not node.writer.aborted
+
+    def test_an_answer_silent_to_the_deadline_is_cut(self):
+        node, took = play([(0.1, HEAD)])
+        assert node.writer.aborted
+        assert DEADLINE_S - 0.01 < took < DEADLINE_S + 0.1
+
+    def test_signs_of_life_are_no_silence(self):
+        signs = [(0.1 * step, SIGN) for step in range(1, 9)]
+        node, _ = play([*signs, (0.9, GOOD)])
+        assert node.outcome == Code.DONE
+        assert len(node.far.asked) == 1
+        assert node.server().failures == 0
+
+
+class TestBalancer:
+    @pytest.mark.parametrize('answers', [True, False])
+    def test_it_learns_of_silence_when_it_is_noticed(self, answers):
+        async def run() -> tuple[int, int]:
+            script = [(0.9, GOOD)] if answers else []
+            node = Node(script, floor=0)
+            task = asyncio.create_task(node.call())
+            await asyncio.sleep(SILENCE_S + 0.05)
+            early = node.server().failures
+            await task
+            assert node.server().in_flight == 0
+            return early, node.server().failures
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            failures = runner.run(run())
+        assert failures == (1, 0 if answers else 1)
+
+    def test_silence_of_a_whole_short_deadline_counts_once(self):
+        node, took = play([], headers=[(b'papayalock-remaining-ms', b'200')])
+        assert node.outcome == Code.UNKNOWN_TIMEOUT
+        assert took < 0.21
+        assert node.server().failures == 1
+
+    def test_signs_of_life_to_the_deadline_do_not_count(self):
+        signs = [(0.1 * step, SIGN) for step in range(1, 25)]
+        node, _ = play(signs)
+        assert node.outcome == Code.UNKNOWN_TIMEOUT
+        assert node.server().failures == 0
+
+
+class TestSilentBackend:
+    def test_without_a_budget_the_call_goes_on(self):
+        node, took = play([(1.5, GOOD)], own=True, floor=0)
+        assert node.outcome == Code.DONE
+        assert took > 1.49
+
+    def test_it_is_not_tried_again_in_place_of_another(self):
+        node, took = play([(1.5, GOOD)], [(0.05, GOOD)], own=True)
+        assert node.outcome == Code.DONE
+        assert took < PROGRESS_S + 0.1
+        assert node.far.asked[0] == 'own'
+        assert node.far.asked[1] != 'own'
+
+    def test_a_call_from_another_node_goes_on(self):
+        node, took = play([(1.5, GOOD)], own=True, headers=[HOP, INNER])
+        assert node.outcome == Code.DONE
+        assert took > 1.49
+
+    def test_the_calling_node_is_told_by_silence(self):
+        node, _ = play([(1.5, GOOD)], own=True, headers=[HOP])
+        assert node.outcome == Code.DONE
+        assert node.writer.written.count(SIGN) in {4, 5}
+
+
 class TestOwnServer:
     def test_a_try_that_failed_there_is_repeated_elsewhere(self):
         node, _ = play([(0.01, BROKEN)], [(0.01, GOOD)], own=True)
