Ask a silent gate again about an attempt, until the second tap's deadline

Callers of a second tap got 202 UNKNOWN_ATTEMPT after 500 ms, well before their deadline, though the first tap's attempt ran and its answer was recorded soon after: a question to the gate that got no byte was taken for its answer.

Cause: ClaimClient.ask_gate gave UNKNOWN_ATTEMPT for silence too, which ends a KeyedRun.

Silence is now UNKNOWN_TIMEOUT and means a pause and another question; the claim's record is read in between. A question no longer outlasts the deadline.

--- a/papayalock/node/claims.py
+++ b/papayalock/node/claims.py
@@ -66,6 +66,9 @@
     async def ask_gate(self, record: ClaimRecord, age_ms: int) -> AttemptFate:
         """Returns what the gate of a claimed attempt knows of it.
 
+        ``UNKNOWN_TIMEOUT`` says that the gate was silent; another question may
+        be answered.
+
         :param age_ms: time since the attempt was claimed
         """
         query = urlencode(
@@ -85,5 +88,10 @@
                 record.gate, req, FATE_TIMEOUT_MS, MAX_ANSWER_BYTES
             )
             return msgspec.json.decode(body, type=AttemptFate)
-        except (WireError, msgspec.MsgspecError):
+        except WireError as exc:
+            silent = exc.code == Code.UNKNOWN_TIMEOUT
+            return AttemptFate(
+                code=exc.code if silent else Code.UNKNOWN_ATTEMPT
+            )
+        except msgspec.MsgspecError:
             return AttemptFate(code=Code.UNKNOWN_ATTEMPT)
--- a/papayalock/node/once.py
+++ b/papayalock/node/once.py
@@ -5,7 +5,14 @@
 from dataclasses import dataclass
 
 from papayalock.core.routing import Balancer, Server
-from papayalock.messages import Answer, Claim, ClaimRecord, ClaimRes, Finish
+from papayalock.messages import (
+    Answer,
+    AttemptFate,
+    Claim,
+    ClaimRecord,
+    ClaimRes,
+    Finish,
+)
 from papayalock.node.claims import ClaimClient
 from papayalock.node.dispatch import Dispatcher
 from papayalock.node.http import OUTCOME_HEADER
@@ -213,7 +220,7 @@
         self, record: ClaimRecord, age_ms: int
     ) -> TryOutcome | None:
         """Settles an open attempt by what its gate knows; None while it runs."""
-        fate = await self._runner.claims.ask_gate(record, age_ms)
+        fate = await self._fate(record, age_ms)
         code = Code(fate.code)
         if code == Code.DONE:
             await self._runner.record(
@@ -223,7 +230,7 @@
         if code.not_run:
             self._replaces = record.attempt
             return None
-        if code == Code.STILL_RUNNING:
+        if code in {Code.STILL_RUNNING, Code.UNKNOWN_TIMEOUT}:
             await self._pause()
             return None
         return Failed(
@@ -232,6 +239,13 @@
             RETRY_TELL_MS,
         )
 
+    async def _fate(self, record: ClaimRecord, age_ms: int) -> AttemptFate:
+        try:
+            async with asyncio.timeout(self._left_s()):
+                return await self._runner.claims.ask_gate(record, age_ms)
+        except TimeoutError:
+            return AttemptFate(code=Code.UNKNOWN_TIMEOUT)
+
     def _replay(self, answer: Answer | None) -> TryOutcome:
         if answer is None:
             return Failed(
@@ -248,11 +262,12 @@
         return Delivered()
 
     async def _pause(self) -> None:
-        now = self._runner.clock.monotonic()
-        left = max(0, self._trip.deadline.at - now)
-        await asyncio.sleep(min(self._pause_s, left))
+        await asyncio.sleep(min(self._pause_s, self._left_s()))
         self._pause_s = min(self._pause_s * 2, POLL_LIMIT_S)
 
+    def _left_s(self) -> float:
+        return max(0, self._trip.deadline.at - self._runner.clock.monotonic())
+
     def _overdue(self) -> Failed:
         if not self._joined:
             return self._failed
--- a/test/test_once.py
+++ b/test/test_once.py
@@ -9,12 +9,13 @@
 from papayalock.core.claims import Claims
 from papayalock.core.derive import derive_parts
 from papayalock.core.routing import Balancer, RouteTable
-from papayalock.messages import Answer, AttemptFate, Claim, Endpoint
+from papayalock.messages import Answer, AttemptFate, Claim, Endpoint, Finish
 from papayalock.node.claims import ClaimClient
 from papayalock.node.http import Call
 from papayalock.node.once import OnceRunner
 from papayalock.node.trip import Delivered, Failed, Trip
 from papayalock.result import Code
+from papayalock.wire import WireError
 from test.inventories import example
 from test.wires import FastLoop, LoopClock
 
@@ -270,6 +271,65 @@
         assert runs == {'k': 1}
 
 
+class GonePool:
+    """Asks a gate that gives no answer, and notes how often."""
+
+    def __init__(self, code: Code) -> None:
+        self.code = code
+        self.asked = 0
+
+    async def exchange(self, address, req, timeout_ms, limit):
+        self.asked += 1
+        if self.code == Code.UNKNOWN_TIMEOUT:
+            await asyncio.sleep(timeout_ms / 1000)
+        raise WireError(self.code, address, sent=True)
+
+
+class TestGateWithoutAnswer:
+    KEY = 'enrol-desk/pay-deposit/external/k'
+
+    def second_tap(self, code: Code, *, done_s: float = 9.0):
+        """Taps for a key whose first attempt is recorded after some time."""
+
+        async def work():
+            loop = asyncio.get_running_loop()
+            mesh = FakeMesh(7)
+            TestLostOutcomes().claimed(mesh, began=True, done=False)
+            pool = GonePool(code)
+            mesh.ask_gate = ClaimClient([], pool, 100).ask_gate
+            done = Finish(
+                kind='finish',
+                key=self.KEY,
+                attempt='lost',
+                code=Code.DONE,
+                answer=Answer(status=200),
+            )
+            loop.call_later(done_s, mesh.claims.apply, 0, done)
+            began = loop.time()
+            outcome, _ = await mesh.tap('k')
+            return outcome, loop.time() - began, pool.asked
+
+        return run(work())
+
+    def test_silence_does_not_end_a_call_whose_attempt_runs(self):
+        outcome, took, asked = self.second_tap(Code.UNKNOWN_TIMEOUT, done_s=1.2)
+        assert outcome == Delivered()
+        assert 1.2 < took < 2.1
+        assert asked > 1
+
+    def test_silence_to_the_end_is_unknown_at_the_deadline(self):
+        outcome, took, _ = self.second_tap(Code.UNKNOWN_TIMEOUT)
+        assert outcome.code == Code.STILL_RUNNING
+        assert 2.99 < took < 3.1
+
+    @pytest.mark.parametrize('code', [Code.NOT_CONNECTED, Code.UNKNOWN_BROKEN])
+    def test_a_lost_gate_makes_it_unknown_at_once(self, code):
+        outcome, took, asked = self.second_tap(code)
+        assert outcome.code == Code.UNKNOWN_ATTEMPT
+        assert took < 0.1
+        assert asked == 1
+
+
 class TestUnderFaults:
     @pytest.mark.parametrize('seed', range(25))
     def test_no_key_runs_twice_and_not_run_is_true(self, seed):
