Let a call whose queue went away join another one

What callers saw: 503 although other servers had room, when the server at which their call waited began to leave, or its node to stop. Cause: after a call had been asked to wait once, any refusal ended it, also one that says that nobody is there any more and nothing was run. Such a call now joins another queue, as often as it may ask for a free slot. The test failed before (GIVE_UP).

--- a/papayalock/core/again.py
+++ b/papayalock/core/again.py
@@ -20,15 +20,15 @@
 
 ASK_SHARE = 0.1  # of the latency objective, that may go into such asks
 
-REFUSED_FREELY = frozenset(
+GONE = frozenset(
     (
-        Code.SHED,
         Code.DRAINING,
         Code.NO_SERVER,
         Code.OTHER_SERVER,
         Code.NOT_CONNECTED,
     )
 )
+REFUSED_FREELY = GONE | {Code.SHED}
 
 
 @dataclass(slots=True)
@@ -98,9 +98,13 @@
 def _after_refusal(course: Course, code: Code, now: float) -> Step:
     """Asks for a free slot first, and only then for a place in a queue.
 
-    On busy nodes an ask takes long; a call then joins a queue sooner.
+    On busy nodes an ask takes long; a call then joins a queue sooner. One whose
+    queue went away with its server joins another.
     """
-    if code not in REFUSED_FREELY or course.waited:
+    if course.waited:
+        moves = code in GONE and course.asked < course.most_asked
+        return Step.WAIT if moves else Step.GIVE_UP
+    if code not in REFUSED_FREELY:
         return Step.GIVE_UP
     if course.asked < course.most_asked and now < course.ask_until:
         return Step.ASK_ANOTHER
--- a/test/test_budget.py
+++ b/test/test_budget.py
@@ -62,6 +62,12 @@
         assert self.step(Code.SHED, ask_until=0.5) is Step.WAIT
         assert self.step(Code.SHED, ask_until=5.0) is Step.ASK_ANOTHER
 
+    def test_a_call_whose_queue_went_away_joins_another(self):
+        for code in (Code.DRAINING, Code.NO_SERVER, Code.NOT_CONNECTED):
+            assert self.step(code, waited=True) is Step.WAIT
+        assert self.step(Code.SHED, waited=True) is Step.GIVE_UP
+        assert self.step(Code.DRAINING, waited=True, asked=3) is Step.GIVE_UP
+
     def test_a_call_that_may_have_run_is_repeated_only_when_allowed(self):
         code = Code.UNKNOWN_BROKEN
         assert self.step(code, arrived=True, runs=1) is Step.REPEAT
