Add failing tests: a slow body refused as a slow head, a restarted server taken for lost

A body that takes longer than header_timeout is answered 400; a queued call for the earlier start of a server, sent to the new one, makes its node turn all calls away until the next heartbeat.

--- a/test/test_inbound.py
+++ b/test/test_inbound.py
@@ -259,3 +259,24 @@
         return await side.run(**changes), side.pool.conn.sent
 
     return asyncio.run(play())
+
+
+class TestRestartedServer:
+    def test_a_queued_call_for_the_earlier_start_costs_the_new_one_nothing(
+        self,
+    ):
+        async def play():
+            side = Side(OK, OTHER)
+            side.watch.hear(beat(2, slots=1), side.clock.now)
+            side.inbound.refit()
+            tasks = [
+                asyncio.create_task(side.run(target_ms=5000)) for _ in range(2)
+            ]
+            await asyncio.sleep(0)
+            fresh = beat(1, born=2000, server='i-2', slots=1)
+            side.watch.hear(fresh, side.clock.now)
+            side.inbound.refit()
+            await asyncio.gather(*tasks)
+            return side.watch.serving(side.clock.now)
+
+        assert asyncio.run(play()) is not None
--- a/test/test_pipelining.py
+++ b/test/test_pipelining.py
@@ -143,3 +143,14 @@
             return side.transport.closed
 
         assert asyncio.run(play()) is False
+
+    def test_a_body_may_take_longer_than_a_head(self):
+        async def play():
+            listening, side = server(Handler())
+            listening.limits.header_s = 3.0
+            head = b'POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n'
+            await side.feed(head + b'half')
+            listening.sweep(asyncio.get_running_loop().time() + 4)
+            return side.transport.written
+
+        assert asyncio.run(play()) == b''
