Add failing tests: what a silent try still costs its call

A silent try that fails starts a run beyond the route's most; a server's 500 is dropped at the deadline, or ends a call that a silent node still runs; a repeat without a server to send it to is paid for; a break after the silence counts as a second failure; a loop that is always late never tells silence.

--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -244,3 +244,56 @@
         outcome, _ = play(far)
         assert outcome.status == 500
         assert len(far.asked) == 2
+
+
+class TestServersRun:
+    """A try that fell silent counts as one run from then on."""
+
+    def test_a_silent_try_that_fails_starts_no_run_beyond_the_most(self):
+        far = FarNodes([(0.3, FAILED)], [(0.6, GOOD)], [(0.6, GOOD)])
+        outcome, _ = play(far)
+        assert outcome.status == 200
+        assert len(far.asked) == 2
+
+    def test_nor_does_one_whose_connection_is_lost(self):
+        far = FarNodes([(0.3, None)], [(0.5, GOOD)], [(0.5, GOOD)])
+        outcome, _ = play(far)
+        assert isinstance(outcome, Answered)
+        assert len(far.asked) == 2
+
+
+class TestAtTheDeadline:
+    def test_a_failure_that_a_server_gave_is_kept(self):
+        far = FarNodes([(0.01, FAILED)], [])
+        outcome, _ = play(far)
+        assert isinstance(outcome, Answered)
+        assert outcome.status == 500
+
+
+class TestFailureBesideSilence:
+    def test_a_failure_elsewhere_does_not_end_a_call_at_a_silent_node(self):
+        far = FarNodes([(0.6, GOOD)], [(0.01, FAILED)])
+        outcome, took = play(far)
+        assert outcome.status == 200
+        assert 0.59 < took < 0.7
+
+
+class TestWhatSilenceCosts:
+    def after(self, far: FarNodes):
+        async def run():
+            caller = Caller(far, timeout_ms=1000)
+            await caller.call()
+            return caller
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            return runner.run(run())
+
+    def test_without_another_server_it_takes_nothing_from_the_budget(self):
+        caller = self.after(FarNodes([(0.6, GOOD)]))
+        budget = caller.outbound._budget('floor')
+        assert budget.left(1001, caller.agent.placement.nodes) >= 60
+
+    def test_a_break_after_it_is_no_second_failure_of_the_server(self):
+        caller = self.after(FarNodes([(0.3, None)]))
+        (peer,) = caller.agent.placement.peers.values()
+        assert peer.failures == 1
--- a/test/test_wire.py
+++ b/test/test_wire.py
@@ -229,3 +229,22 @@
 
     def test_a_loop_that_stood_still_itself_takes_no_other_for_silent(self):
         assert self.play(stall_s=0.3) == (0, 1, True)
+
+    def test_a_loop_that_is_always_late_tells_silence_all_the_same(self):
+        async def run():
+            told = []
+            conn, _ = client()
+            task = asyncio.create_task(
+                conn.call(GET, 200, on_silent=lambda: told.append(True))
+            )
+            await asyncio.sleep(0)
+            loop = asyncio.get_running_loop()
+            for _ in range(40):
+                loop.stall(0.3)
+                await asyncio.sleep(0.001)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return len(told)
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            assert runner.run(run()) == 1
