--- a/papayalock/progress.py
+++ b/papayalock/progress.py
@@ -10,10 +10,18 @@
     """Waits for a count to stand still for a timeout.
 
     A loop that ran the timer late stood still itself, so what would have been
-    progress may wait unread; it gets a little more time.
+    progress may wait unread; it gets a little more time, once.
     """
 
-    __slots__ = ('_count', '_due', '_expired', '_handle', '_seen', '_timeout')
+    __slots__ = (
+        '_count',
+        '_due',
+        '_expired',
+        '_extended',
+        '_handle',
+        '_seen',
+        '_timeout',
+    )
 
     def __init__(
         self, count: Callable[[], int], expired: Callable[[], None]
@@ -27,6 +35,7 @@
         self._expired = expired
         self._timeout = 0.0
         self._due = 0.0
+        self._extended = False
         self._seen = 0
         self._handle: asyncio.TimerHandle | None = None
 
@@ -42,6 +51,7 @@
     def again(self) -> None:
         """Waits for the same time once more."""
         self._seen = self._count()
+        self._extended = False
         self._wait(self._timeout)
 
     def stop(self) -> None:
@@ -59,7 +69,8 @@
         late = asyncio.get_running_loop().time() - self._due
         if self._count() != self._seen:
             self.again()
-        elif late > self._timeout * STALL_SHARE:
+        elif late > self._timeout * STALL_SHARE and not self._extended:
+            self._extended = True
             self._wait(self._timeout * STALL_SHARE)
         else:
             self._expired()
