Count tries under way as runs, and keep a failure until the tries beside it end

The time left is told to the other node as of when the connection is there, not before. A call without a body that may run once gets a connection of its own: nothing of it can be held back, and on a dead pooled one it would now wait to its deadline.

--- a/bench/loadmodel/model.py
+++ b/bench/loadmodel/model.py
@@ -313,6 +313,7 @@
                 course,
                 code,
                 arrived=arrived,
+                another=True,
                 now=self.env.now,
                 pace_s=kind.target_ms / MS / 2,
                 budget=budget,
--- a/papayalock/core/again.py
+++ b/papayalock/core/again.py
@@ -42,8 +42,25 @@
     ask_until: float = float('inf')  # from then on a call waits in a queue
     asked: int = 0  # nodes that refused before their server saw the call
     runs: int = 0  # servers that may have run the call
+    under_way: int = 0  # tries that may yet count as runs
     waited: bool = False  # whether a node was asked to let the call wait
 
+    def started(self) -> None:
+        """Notes that a try has begun."""
+        self.under_way += 1
+
+    def fell_silent(self) -> None:
+        """Notes that a try may be running for as long as it likes."""
+        self.under_way -= 1
+        self.runs += 1
+
+    def ended(self, code: Code, *, arrived: bool, silent: bool) -> None:
+        """Notes how a try ended; one that fell silent has been counted."""
+        if not silent:
+            self.under_way -= 1
+            self.runs += not code.not_run
+        self.asked += code.not_run and not arrived
+
 
 def next_server(
     placement: Placement,
@@ -69,18 +86,20 @@
     code: Code,
     *,
     arrived: bool,
+    another: bool,
     now: float,
     pace_s: float,
     budget: SharedBudget,
     nodes: int,
 ) -> Step:
-    """Returns what follows a try that ended with a code.
+    """Returns what follows a try that ended with a code, or fell silent.
 
     A try that no server saw costs nothing, so another server is asked. What a
     server refused, or may have run, counts against the budget; a call that
     may not be repeated goes on only when the code proves that it was not run.
 
     :param arrived: whether the call reached a backend server
+    :param another: whether there is a server that was not tried yet
     :param pace_s: time that a further run is expected to take
     """
     if now >= course.deadline_at:
@@ -89,8 +108,8 @@
         return _after_refusal(course, code, now)
     if not code.not_run and not course.repeatable:
         return Step.GIVE_UP
-    worth_it = now + pace_s / 2 < course.deadline_at
-    if course.runs >= course.most_runs or not worth_it:
+    worth_it = another and now + pace_s / 2 < course.deadline_at
+    if course.runs + course.under_way >= course.most_runs or not worth_it:
         return Step.GIVE_UP
     return Step.REPEAT if budget.take(now, nodes) else Step.GIVE_UP
 
--- a/papayalock/core/placing.py
+++ b/papayalock/core/placing.py
@@ -81,6 +81,12 @@
         ]
         return self._best(free, route, now) if free else None
 
+    def has_other(self, service: str, avoid: frozenset[str]) -> bool:
+        """Whether a service has a server that a call has not tried."""
+        return any(
+            one.endpoint.server not in avoid for one in self.ready(service)
+        )
+
     def _untried(self, service: str, avoid: frozenset[str]) -> list[Peer]:
         return [
             one
--- a/papayalock/node/calljournal.py
+++ b/papayalock/node/calljournal.py
@@ -102,6 +102,11 @@
     returning: bool
     trail: list[Trail] = field(default_factory=list)
 
+    @property
+    def servers(self) -> frozenset[str]:
+        """The servers that were tried."""
+        return frozenset(one.peer.endpoint.server for one in self.trail)
+
 
 class CallJournal:
     """Writes the lines and counts the outcomes of calls."""
--- a/papayalock/node/tries.py
+++ b/papayalock/node/tries.py
@@ -8,7 +8,7 @@
 from papayalock.core.directory import Peer
 from papayalock.core.placing import Placement
 from papayalock.messages import HopOrder, ServerLoad
-from papayalock.node.calljournal import Plan
+from papayalock.node.calljournal import Plan, Trail
 from papayalock.node.http import OUTCOME_HEADER
 from papayalock.node.inbound import (
     ANSWER_BYTES,
@@ -54,26 +54,22 @@
         self._clock = clock
 
     async def run(
-        self, plan: Plan, peer: Peer, on_silent: OnSilent, *, may_wait: bool
+        self, plan: Plan, trail: Trail, on_silent: OnSilent, *, may_wait: bool
     ) -> Outcome:
         """Runs one try of a call at one server, however long it takes.
 
         :param on_silent: called when the other node gives no sign of life
         """
-        order = self._order(plan, peer, may_wait=may_wait)
+        peer = trail.peer
         self._placement.started(peer)
         code = Code.UNKNOWN_BROKEN
         try:
             if peer.endpoint.address == self._own_address:
+                order = self._order(plan, peer, may_wait=may_wait)
                 outcome = await self._inbound.run(order, plan.call)
             else:
-                outcome = await self._hop(plan, peer, order, on_silent)
-            code = Code.DONE
-            if isinstance(outcome, NoAnswer):
-                code = outcome.code
-            else:
-                size = len(outcome.body)
-                self._placement.answered(plan.route.name, size)
+                outcome = await self._over(plan, peer, on_silent, may_wait)
+            code = self._judged(plan, trail, outcome)
         except asyncio.CancelledError:
             code = Code.DEADLINE_BEFORE_RUN
             raise
@@ -81,6 +77,15 @@
             self._placement.finished(peer, code, self._clock.monotonic())
         return outcome
 
+    def _judged(self, plan: Plan, trail: Trail, outcome: Outcome) -> Code:
+        """Returns what a try's end says of its server; silence was told before."""
+        if isinstance(outcome, Answered):
+            self._placement.answered(plan.route.name, len(outcome.body))
+            return Code.DONE
+        if outcome.code.unknown and trail.silent_at is not None:
+            return Code.DEADLINE_BEFORE_RUN
+        return outcome.code
+
     def suspect(self, peer: Peer, now: float) -> None:
         """Passes over a server that fell silent, and its idle connections."""
         self._placement.silent(peer, now)
@@ -103,26 +108,28 @@
             may_wait=may_wait,
         )
 
-    async def _hop(
-        self, plan: Plan, peer: Peer, order: HopOrder, on_silent: OnSilent
+    async def _over(
+        self, plan: Plan, peer: Peer, on_silent: OnSilent, may_wait: bool
     ) -> Outcome:
-        call = plan.call
-        headers = [
-            pair for pair in call.headers if pair[0] not in NOT_PASSED_ON
-        ]
-        headers.append((ORDER_HEADER, msgspec.json.encode(order)))
-        req = Request(call.method, call.target, headers, call.body)
+        """Sends a call to another node.
+
+        Without a body there is nothing to hold back until the node has shown
+        itself, so a call that may run once then gets a connection of its own.
+        """
+        once = not plan.route.repeatable
         address = peer.endpoint.address
         try:
-            conn = await self._pool.take(address)
+            conn = await self._pool.take(
+                address, fresh=once and not plan.call.body
+            )
         except WireError as exc:
             return NoAnswer(exc.code, str(exc))
         whole = False
         try:
             response = await conn.call(
-                req,
+                self._request(plan, peer, may_wait=may_wait),
                 self._silence_ms,
-                expect=not order.repeatable,
+                expect=once,
                 on_silent=on_silent,
             )
             body = await response.read_all(ANSWER_BYTES)
@@ -137,6 +144,15 @@
                 conn.close()
         return self._read_hop(peer, response, body)
 
+    def _request(self, plan: Plan, peer: Peer, *, may_wait: bool) -> Request:
+        call = plan.call
+        order = self._order(plan, peer, may_wait=may_wait)
+        headers = [
+            pair for pair in call.headers if pair[0] not in NOT_PASSED_ON
+        ]
+        headers.append((ORDER_HEADER, msgspec.json.encode(order)))
+        return Request(call.method, call.target, headers, call.body)
+
     def _read_hop(self, peer: Peer, response: Response, body: bytes) -> Outcome:
         self._note_load(peer, response.header(LOAD_HEADER))
         code = read_code(response.header(OUTCOME_HEADER))
--- a/test/test_budget.py
+++ b/test/test_budget.py
@@ -35,7 +35,14 @@
 
 
 class TestNextStep:
-    def step(self, code: Code, *, arrived: bool = False, **changes) -> Step:
+    def step(
+        self,
+        code: Code,
+        *,
+        arrived: bool = False,
+        another: bool = True,
+        **changes,
+    ) -> Step:
         fields = {
             'repeatable': True,
             'most_runs': 2,
@@ -47,6 +54,7 @@
             Course(**fields),
             code,
             arrived=arrived,
+            another=another,
             now=1.0,
             pace_s=0.1,
             budget=budget(),
@@ -84,5 +92,14 @@
         step = self.step(Code.UNKNOWN_BROKEN, arrived=True, runs=2)
         assert step is Step.GIVE_UP
 
+    def test_a_try_under_way_may_be_a_run(self):
+        code = Code.UNKNOWN_BROKEN
+        step = self.step(code, arrived=True, runs=1, under_way=1)
+        assert step is Step.GIVE_UP
+
+    def test_without_another_server_nothing_is_repeated(self):
+        code = Code.UNKNOWN_BROKEN
+        assert self.step(code, arrived=True, another=False) is Step.GIVE_UP
+
     def test_nothing_follows_the_deadline(self):
         assert self.step(Code.SHED, deadline_at=0.5) is Step.GIVE_UP
