--- a/bench/loadmodel/model.py
+++ b/bench/loadmodel/model.py
@@ -295,6 +295,7 @@
             if peer is None:
                 break
             tried |= {peer.endpoint.server}
+            course.started()
             job = Job(
                 kind.name,
                 kind.rank,
@@ -307,13 +308,12 @@
             outcome, code, arrived = yield from self._try(kind, node, peer, job)
             if outcome.good:
                 break
-            course.asked += not arrived
-            course.runs += arrived
+            course.ended(code, arrived=arrived, silent=False)
             step = next_step(
                 course,
                 code,
                 arrived=arrived,
-                another=True,
+                another=node.placement.has_other(kind.service, tried),
                 now=self.env.now,
                 pace_s=kind.target_ms / MS / 2,
                 budget=budget,
