Ask for the server again after a call has waited for its slot

What would be seen: a server started anew on its VM while calls for its earlier start were queued; they were sent to it under the old name, its 421 was taken for a wrong address, and the new server got nothing until its next heartbeat; all that waited was turned out. Cause: the announcement of the time of arrival was used after the wait.

--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -107,22 +107,15 @@
     async def run(self, order: HopOrder, call: Call) -> Outcome:
         """Runs a call on the server beside this node."""
         now = self._clock.monotonic()
-        serving = self._watch.serving(now)
-        if serving is None:
-            leaving = self._watch.closed(now)
-            code = Code.DRAINING if leaving else Code.NO_SERVER
-            return NoAnswer(code, 'no backend server takes calls here')
-        if serving.server != order.server:
-            return NoAnswer(
-                Code.OTHER_SERVER,
-                f'{serving.server} is here, not {order.server}',
-            )
+        serving = self._serving(order, now)
+        if isinstance(serving, NoAnswer):
+            return serving
         job = job_of(order, now)
         if self._gate.closing.refuses(job.deadline_at, now):
             return NoAnswer(Code.DRAINING, 'the node stops', RETRY_MS)
         try:
             async with Slot(self._queue, job):
-                return await self._send(order, call, serving, job)
+                return await self._send(order, call, job)
         except Refused as exc:
             if order.may_wait:
                 self._log_refusal(order, exc)
@@ -131,10 +124,26 @@
             self._log_abandoned(order, job)
             raise
 
-    async def _send(
-        self, order: HopOrder, call: Call, serving: Announcement, job: Job
-    ) -> Outcome:
-        left_ms = int((job.deadline_at - self._clock.monotonic()) * MS)
+    def _serving(self, order: HopOrder, now: float) -> Announcement | NoAnswer:
+        """Returns the server that an order names, if it takes calls now."""
+        serving = self._watch.serving(now)
+        if serving is None:
+            leaving = self._watch.closed(now)
+            code = Code.DRAINING if leaving else Code.NO_SERVER
+            return NoAnswer(code, 'no backend server takes calls here')
+        if serving.server != order.server:
+            return NoAnswer(
+                Code.OTHER_SERVER,
+                f'{serving.server} is here, not {order.server}',
+            )
+        return serving
+
+    async def _send(self, order: HopOrder, call: Call, job: Job) -> Outcome:
+        now = self._clock.monotonic()
+        serving = self._serving(order, now)
+        if isinstance(serving, NoAnswer):
+            return serving
+        left_ms = int((job.deadline_at - now) * MS)
         if left_ms <= 0:
             return NoAnswer(Code.DEADLINE_BEFORE_RUN, 'the deadline has passed')
         terms = BackendTerms(order.call, serving.server, order.caller, left_ms)
