Read what waits before a call goes to its server after a stall

Cause: a node whose loop stood still starts the calls that it finds in its buffers before it reads that some were taken back. Change: when the loop ran late by 100 ms or more, a call from another node waits for two passes of the loop, in which the close of its connection is read.

--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -30,6 +30,8 @@
 CALLEE_HEADER = b'papayalock-callee-failed'
 ANSWER_BYTES = 16_777_216  # largest answer that is passed on
 UNAVAILABLE = 503
+STALL_MS = 100  # lateness of the loop, in which callers may have gone
+READ_PASSES = 2  # of the loop, until a closed connection is known as such
 INTERNAL = frozenset(
     (
         ORDER_HEADER,
@@ -88,6 +90,7 @@
             reply.refuse(Code.BAD_REQUEST, f'no order: {exc}')
             return
         with SignsOfLife(reply, self._alive_ms):
+            await self._hear_of_cancellation()
             outcome = await self.run(order, call)
         load = (LOAD_HEADER, msgspec.json.encode(self._gate.load()))
         if isinstance(outcome, Answered):
@@ -104,6 +107,12 @@
         ]
         reply.whole(UNAVAILABLE, headers, outcome.reason.encode())
 
+    async def _hear_of_cancellation(self) -> None:
+        """Lets a loop that stood still read that a call was taken back."""
+        if self._lag.worst_ms(self._clock.monotonic()) >= STALL_MS:
+            for _ in range(READ_PASSES):
+                await asyncio.sleep(0)
+
     async def run(self, order: HopOrder, call: Call) -> Outcome:
         """Runs a call on the server beside this node."""
         now = self._clock.monotonic()
@@ -147,9 +156,7 @@
         if left_ms <= 0:
             return NoAnswer(Code.DEADLINE_BEFORE_RUN, 'the deadline has passed')
         terms = BackendTerms(order.call, serving.server, order.caller, left_ms)
-        kept = [pair for pair in call.headers if pair[0] not in NOT_PASSED_ON]
-        headers = self._dialect.to_backend(kept, terms)
-        req = Request(call.method, call.target, headers, call.body)
+        req = self._request(call, terms)
         failures = self.callee_failures
         try:
             outcome = await self._exchange(req, serving.address, order, left_ms)
@@ -162,6 +169,11 @@
         self._judge(outcome, job)
         return outcome
 
+    def _request(self, call: Call, terms: BackendTerms) -> Request:
+        kept = [pair for pair in call.headers if pair[0] not in NOT_PASSED_ON]
+        headers = self._dialect.to_backend(kept, terms)
+        return Request(call.method, call.target, headers, call.body)
+
     async def _exchange(
         self, req: Request, address: str, order: HopOrder, left_ms: int
     ) -> Outcome:
--- a/test/test_inbound.py
+++ b/test/test_inbound.py
@@ -9,12 +9,12 @@
 from papayalock.messages import HopOrder
 from papayalock.native import NativeCalls
 from papayalock.node.gate import JobQueue
-from papayalock.node.http import Call
+from papayalock.node.http import Call, Reply
 from papayalock.node.inbound import Inbound
 from papayalock.node.lag import LoopLag
 from papayalock.node.outcome import Answered, NoAnswer
 from papayalock.result import Code
-from test.test_dispatch import FakePool
+from test.test_dispatch import FakePool, Writer
 from test.test_heartbeats import beat
 from test.wires import FakeClock
 
@@ -51,6 +51,7 @@
         self.watch = BackendWatch(lease_ms=4000, drain_ms=2000)
         self.watch.hear(beat(1), self.clock.now)
         self.gate = ServerGate()
+        self.lag = LoopLag(0.25)
         self.pool = FakePool(list(script))
         self.inbound = Inbound(
             self.watch,
@@ -60,7 +61,7 @@
             NativeCalls(),
             self.clock,
             60,
-            LoopLag(0.25),
+            self.lag,
         )
         self.inbound.refit()
 
@@ -261,6 +262,25 @@
     return asyncio.run(play())
 
 
+class TestStall:
+    def test_a_call_taken_back_during_a_stall_is_not_passed_on(self):
+        async def play(stall_s: float):
+            side = Side(OK)
+            side.lag.note(side.clock.now - 0.25 - stall_s)
+            headers = [(b'papayalock-order', msgspec.json.encode(order()))]
+            call = Call(b'GET', b'/x', headers)
+            task = asyncio.create_task(
+                side.inbound.handle(call, Reply(Writer(), keep_alive=True))
+            )
+            await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            return side.pool.conn.sent
+
+        assert asyncio.run(play(stall_s=0.5)) == b''
+        assert asyncio.run(play(stall_s=0.0)) != b''
+
+
 class TestRestartedServer:
     def test_a_queued_call_for_the_earlier_start_costs_the_new_one_nothing(
         self,
