Bound the time of a head, not that of the body after it

What callers would see: 400, which they don't try again, for a body that takes longer than header_timeout to arrive. A body is now ended only when nothing of it came for the idle time.

--- a/papayalock/node/listener.py
+++ b/papayalock/node/listener.py
@@ -156,6 +156,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._call = Call()
         self._head_bytes = 0
+        self._head_whole = False
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._turns: deque[Turn] = deque()
@@ -196,13 +197,20 @@
             self._transport.close()
 
     def sweep(self, now: float) -> None:
-        """Ends a connection that has been idle, or amid a head, for too long."""
+        """Ends a connection that has been idle, or amid a head, for too long.
+
+        A body may take longer than a head, as long as some of it arrives.
+        """
         limits = self._server.limits
         if self._turns:
             return
-        if self._head_bytes and now - self._since >= limits.header_s:
-            self._refuse(Code.BAD_REQUEST, 'the head took too long')
-        elif now - self._since >= limits.idle_s:
+        waited = now - self._since
+        if self._head_bytes and not self._head_whole:
+            if waited >= limits.header_s:
+                self._refuse(Code.BAD_REQUEST, 'the head took too long')
+        elif waited >= limits.idle_s:
+            if self._head_bytes:
+                self._refuse(Code.BAD_REQUEST, 'the body stopped')
             self.close_if_idle()
 
     def is_last(self, turn: 'Turn') -> bool:
@@ -256,6 +264,7 @@
         """Starts a call."""
         self._call = Call()
         self._head_bytes = 1
+        self._head_whole = False
         self._since = asyncio.get_running_loop().time()
         self._body = []
         self._body_bytes = 0
@@ -272,6 +281,7 @@
 
     def on_headers_complete(self) -> None:
         """Checks the head before any of the body is taken in."""
+        self._head_whole = True
         call = self._call
         call.method = self._parser.get_method()
         call.keep_alive = self._parser.should_keep_alive()
@@ -287,6 +297,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collects the body within bounds."""
+        self._since = asyncio.get_running_loop().time()
         self._body_bytes += len(body)
         if self._body_bytes > self._server.limits.body_bytes:
             self._refuse(Code.TOO_LARGE, 'body is too large')
--- a/test/test_pipelining.py
+++ b/test/test_pipelining.py
@@ -154,3 +154,19 @@
             return side.transport.written
 
         assert asyncio.run(play()) == b''
+
+    def test_a_body_that_stops_is_refused_after_the_idle_time(self):
+        async def play():
+            listening, side = server(Handler())
+            listening.limits.idle_s = 15.0
+            head = b'POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n'
+            await side.feed(head + b'half')
+            now = asyncio.get_running_loop().time()
+            listening.sweep(now + 14)
+            before = side.transport.written
+            listening.sweep(now + 16)
+            return before, side.transport.written
+
+        before, after = asyncio.run(play())
+        assert before == b''
+        assert after.startswith(b'HTTP/1.1 400 ')
