Check in the soak that no call is given up while its server is at work

The soak only saw connections that end without an answer, and only the begin of a run.

Stand-in servers now write down the end of each run too, whole or cut, and read on amid a run, so that a lost connection cuts it. calls_are_not_given_up finds, beside a stop or reload of any node, a call that its node failed or cut 0.1 s or more before the deadline while the run of an undisturbed server had not ended. Every failure of the node's own counts, not only an unknown outcome: a refusal elsewhere doesn't end a run either. A run at the end of a grace time is not passed over; a test shows that deadlines are too short for one.

--- a/bench/soak/backend.py
+++ b/bench/soak/backend.py
@@ -1,4 +1,4 @@
-"""A stand-in backend server that writes down each run before it starts it.
+"""A stand-in backend server that writes down the begin and end of each run.
 
 SIGUSR1 makes it leave: it announces that, writes down when the node has
 acknowledged it, and goes on running what still comes.
@@ -27,7 +27,8 @@
 WORK_S = {'look': 0.02, 'pay': 0.03, 'history': 0.06}
 SHORT_WORK_S = 0.005
 INNER_SHARE = 0.5
-LIMITS = ServerLimits(65536, 1 << 20, 4096)
+# Reading goes on amid a run, so that a lost connection cuts the run.
+LIMITS = ServerLimits(65536, 1 << 20, 4096, pipelined=2)
 OK = 200
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -40,6 +41,8 @@
         """Starts a new life of the server under its old name."""
         self._args = args
         self._born = int(time.time() * 1000)
+        self._life = f'{args.name}@{self._born}'
+        self._runs = 0
         self._sequence = 0
         self._leaving = False
         self._rng = random.Random(args.seed + self._born)
@@ -61,28 +64,44 @@
             name = self._args.name.encode()
             reply.whole(status, [(SERVER_HEADER, name)], b'')
             return
-        number = call.header(CALL_HEADER).decode()
+        number = self._begin(call, path)
+        whole = False
+        try:
+            status = await self._work(call, path.split('/')[1])
+            whole = True
+        finally:
+            self.write_down(ended=number, server=self._life, whole=whole)
+        name = call.header(CALL_HEADER)
+        body = json.dumps({'echo': f'{name.decode()} {path}'}).encode()
+        reply.whole(status, [(CALL_HEADER, name)], body)
+
+    def _begin(self, call: Call, path: str) -> int:
+        """Writes down the begin of a run and returns its number."""
+        self._runs += 1
         self.write_down(
-            call=number,
+            call=call.header(CALL_HEADER).decode(),
             path=path,
-            server=f'{self._args.name}@{self._born}',
+            server=self._life,
             service=self._args.service,
+            number=self._runs,
         )
-        kind = path.split('/')[1]
+        return self._runs
+
+    async def _work(self, call: Call, kind: str) -> int:
+        """Works on a call and returns the status of its answer."""
         status = OK
         if kind == 'look' and self._rng.random() < INNER_SHARE:
-            status = await self._inner(number, call.header(REMAINING_HEADER))
+            status = await self._inner(call)
         mean = WORK_S.get(kind, SHORT_WORK_S)
         await asyncio.sleep(mean * self._rng.uniform(0.5, 1.5))
-        body = json.dumps({'echo': f'{number} {path}'}).encode()
-        reply.whole(status, [(CALL_HEADER, number.encode())], body)
+        return status
 
-    async def _inner(self, number: str, remaining: bytes) -> int:
+    async def _inner(self, call: Call) -> int:
         """Makes a call of the server's own through its node."""
         headers = {
             'host': 'mesh.example',
-            CALL_HEADER.decode(): f'{number}{INNER}',
-            REMAINING_HEADER.decode(): remaining.decode(),
+            CALL_HEADER.decode(): f'{call.header(CALL_HEADER).decode()}{INNER}',
+            REMAINING_HEADER.decode(): call.header(REMAINING_HEADER).decode(),
         }
         try:
             answer = await self._http.get(
@@ -113,7 +132,7 @@
         except httpx.HTTPError:
             return
         if leaving and answer.status_code == OK:
-            self.write_down(drained=f'{self._args.name}@{self._born}')
+            self.write_down(drained=self._life)
 
     async def run(self) -> None:
         """Serves and announces until it is ended."""
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -4,7 +4,8 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 
-from bench.soak.history import Attempt, History, Publication
+from bench.soak.history import Attempt, History, Publication, Run
+from bench.soak.plan import node_of
 from papayalock.result import Code
 
 APPLY_S = 2.0  # time in which an acknowledged version is in force
@@ -20,6 +21,7 @@
 WINDOW_S = 10.0
 BUDGET_SHARE = 0.2
 BUDGET_FLOOR = 60
+GIVEN_UP_S = 0.1  # before its deadline, from which a call ends too early
 FIRST_FAILURE = 400
 LOG_WRITE_S = 0.5  # longest time that a line stays in memory
 MARK = '/mark/'
@@ -191,6 +193,26 @@
         yield f'lost: {len(lost)} calls cut by calm nodes: {calls}'
 
 
+def calls_are_not_given_up(history: History) -> Iterator[str]:
+    """Around planned work no call ends before its deadline and its run.
+
+    Deadlines are too short for a run that is at work in the last sixth of a
+    grace time, of a call sent soon after the stop; so none is passed over.
+    """
+    runs: dict[str, list[Run]] = {}
+    for run in history.runs:
+        runs.setdefault(run.call, []).append(run)
+    for one in history.attempts:
+        if not (_ended_early(one) and _beside_planned_work(history, one)):
+            continue
+        for run in runs.get(one.call, []):
+            if not run.was_over(one.ended) and _untouched(history, one, run):
+                left = one.deadline - one.ended
+                end = f'{one.code} at {one.node}, {left:.2f} s left'
+                yield f'given up: {one.call} {end}, run by {run.server}'
+                break
+
+
 def deadlines_hold(history: History) -> Iterator[str]:
     """A calm node answers at the latest when the deadline passes."""
     due = [
@@ -275,6 +297,7 @@
     no_node_goes_back,
     drains_bind,
     calls_are_answered,
+    calls_are_not_given_up,
     deadlines_hold,
     repeats_stay_in_budget,
     service_recovers,
@@ -320,6 +343,31 @@
     )
 
 
+def _ended_early(one: Attempt) -> bool:
+    """Whether the node itself failed a call well before its deadline."""
+    failed = one.code > Code.DONE or one.fault == 'broken'
+    return failed and one.ended < one.deadline - GIVEN_UP_S
+
+
+def _beside_planned_work(history: History, one: Attempt) -> bool:
+    return any(
+        span.planned
+        and span.begin <= one.ended
+        and span.end >= one.sent - TOUCH_S
+        for span in history.spans
+    )
+
+
+def _untouched(history: History, one: Attempt, run: Run) -> bool:
+    """Whether no fault struck a call's way to the run of a server."""
+    server = run.server.partition('@')[0]
+    end = max(one.ended, run.at)
+    return all(
+        calm(history, name, one.sent, end, unplanned=True)
+        for name in (one.node, node_of(server), server)
+    )
+
+
 def _superseded(history: History, label: int, before: float) -> bool:
     def newer(one: Publication) -> bool:
         return one.label > label and one.sent <= before and not one.refused
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -29,7 +29,7 @@
         return 200 <= self.status < 300
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Run:
     """One run of a call at a backend server."""
 
@@ -38,6 +38,13 @@
     server: str
     service: str
     at: float
+    number: int = 0  # counts the runs of one life of the server
+    ended: float | None = None  # None: not written down, as after a kill
+    whole: bool = False  # whether it came to its end and was not cut
+
+    def was_over(self, moment: float) -> bool:
+        """Whether the server had come to the end of the run by then."""
+        return self.whole and self.ended is not None and self.ended <= moment
 
 
 @dataclass(slots=True, frozen=True)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -69,6 +69,11 @@
     role: Role
 
 
+def node_of(server: str) -> str:
+    """Returns the name of the node beside a backend server."""
+    return f'node-{server}'
+
+
 def draw(seed: int, seconds: float, targets: list[Target]) -> list[Fault]:
     """Returns the faults of a run in order; the last has ended in time.
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -110,12 +110,19 @@
 def _read_book(path: Path, history: History) -> None:
     """Takes in what the backend servers wrote down."""
     acked: dict[str, float] = {}
+    runs: dict[tuple[str, int], Run] = {}
     for line in path.read_text().splitlines():
         entry = json.loads(line)
         if 'drained' in entry:
             acked.setdefault(entry['drained'], entry['at'])
+        elif 'ended' in entry:
+            run = runs[entry['server'], entry['ended']]
+            run.ended = entry['at']
+            run.whole = entry['whole']
         else:
-            history.runs.append(Run(**entry))
+            run = Run(**entry)
+            runs[run.server, run.number] = run
+    history.runs = list(runs.values())
     history.drains = [Drain(*pair) for pair in acked.items()]
 
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -8,7 +8,7 @@
 from bench.link import Links
 from bench.mesh import Process, free_port, start_daemon
 from bench.soak.history import Span
-from bench.soak.plan import Fault, Kind, Role, Target
+from bench.soak.plan import Fault, Kind, Role, Target, node_of
 
 ZONES = ('one', 'two', 'three')
 DELAY_S = 0.15
@@ -63,7 +63,7 @@
     @property
     def nodes(self) -> list[str]:
         """The names of the nodes."""
-        return [f'node-{name}' for name in self._servers]
+        return [node_of(name) for name in self._servers]
 
     def address(self, name: str) -> str:
         """Returns where a process really listens."""
@@ -215,7 +215,7 @@
 
     def _start_pair(self, server: str, service: str, zone: str) -> None:
         """Starts a backend server and the node beside it."""
-        node = f'node-{server}'
+        node = node_of(server)
         self.outbound[node] = f'127.0.0.1:{free_port()}'
         announce = f'127.0.0.1:{free_port()}'
         document: dict[str, object] = {
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -4,6 +4,7 @@
 
 from bench.soak import checks
 from bench.soak.__main__ import kept_seeds
+from bench.soak.callers import DEADLINES_MS, MS
 from bench.soak.history import (
     Attempt,
     Drain,
@@ -14,8 +15,11 @@
     Span,
 )
 from bench.soak.plan import QUIET_S, WARM_S, Kind, Role, Target, draw
+from bench.soak.world import GRACE_S
 from papayalock.result import Code
 
+SENT_AFTER_STOP_S = 3.0  # last calls for which a stop answers
+STOP = Span('node-a', 99.0, 104.0, planned=True)
 TARGETS = [
     *(Target(f'control-{one}', Role.CONTROL) for one in 'abc'),
     *(Target(f'node-{one}', Role.NODE) for one in 'abc'),
@@ -36,13 +40,31 @@
     return Attempt(call, path, **{**plain, **changed})
 
 
-def run_of(one, at=100.05, server='s-1', service=None):
+def run_of(
+    one, at=100.05, server='s-1', service=None, *, ended=None, whole=True
+):
     prefix = f'/{one.path.split("/")[1]}/'
     return Run(
-        one.call, one.path, server, service or checks.SERVICES[prefix], at
+        one.call,
+        one.path,
+        server,
+        service or checks.SERVICES[prefix],
+        at,
+        ended=at + 0.02 if ended is None else ended,
+        whole=whole,
     )
 
 
+def given_up(**changed):
+    ending = {
+        'status': 504,
+        'code': int(Code.UNKNOWN_TIMEOUT),
+        'ended': 100.3,
+        'echo': '',
+    }
+    return attempt(**{**ending, **changed})
+
+
 def history(attempts, runs=None, **more):
     if runs is None:
         runs = [run_of(one) for one in attempts if one.served]
@@ -229,6 +251,81 @@
         found.spans.append(Span('node-a', 100.0, 100.0))
         assert not checks.broken(found)
 
+    @pytest.mark.parametrize(
+        'ending',
+        [
+            {'status': 504, 'code': int(Code.UNKNOWN_TIMEOUT)},
+            {'status': 502, 'code': int(Code.UNKNOWN_BROKEN)},
+            {'status': 503, 'code': int(Code.SHED)},
+            {'status': 0, 'fault': 'broken'},
+        ],
+    )
+    @pytest.mark.parametrize(
+        'ran',
+        [
+            {'at': 100.05, 'ended': 100.35, 'whole': True},
+            {'at': 100.05, 'ended': 100.3, 'whole': False},
+            {'at': 100.05, 'ended': 100.299, 'whole': False},
+            {'at': 100.45, 'ended': 100.5, 'whole': False},
+            {'at': 100.45, 'ended': 100.5, 'whole': True},
+        ],
+    )
+    @pytest.mark.parametrize('stopped', ['node-a', 'node-s-1', 'node-b'])
+    def test_call_given_up_beside_a_stop(self, ending, ran, stopped):
+        one = attempt(ended=100.3, echo='', **ending)
+        stop = Span(stopped, 99.0, 104.0, planned=True)
+        found = history([one], [run_of(one, **ran)], spans=[stop])
+        assert first_words(found) == {'given up'}
+
+    def test_call_given_up_at_a_killed_server_and_at_a_sound_one(self):
+        one = given_up()
+        runs = [run_of(one), run_of(one, 100.2, 's-2', ended=100.4)]
+        found = history([one], runs, spans=[STOP, Span('s-1', 100.1, 101.0)])
+        assert first_words(found) == {'given up'}
+
+    def test_call_whose_run_had_ended(self):
+        one = given_up()
+        found = history([one], [run_of(one, ended=100.29)], spans=[STOP])
+        assert not checks.broken(found)
+
+    def test_call_that_no_server_ran(self):
+        assert not checks.broken(history([given_up()], [], spans=[STOP]))
+
+    def test_call_that_ended_at_its_deadline(self):
+        one = given_up(ended=100.95)
+        found = history([one], [run_of(one, ended=101.2)], spans=[STOP])
+        assert not checks.broken(found)
+
+    def test_call_whose_caller_left(self):
+        one = given_up(status=0, code=-1, fault='left')
+        found = history([one], [run_of(one, ended=100.5)], spans=[STOP])
+        assert not checks.broken(found)
+
+    def test_call_that_its_server_failed(self):
+        one = given_up(status=502, code=-1)
+        found = history([one], [run_of(one, ended=100.5)], spans=[STOP])
+        assert not checks.broken(found)
+
+    @pytest.mark.parametrize(
+        'struck', ['node-a', 's-1', 'node-s-1', 'control-a']
+    )
+    @pytest.mark.parametrize('until', [97.5, 100.2])
+    def test_call_given_up_beside_an_unplanned_fault(self, struck, until):
+        one = given_up()
+        run = run_of(one, ended=100.5, whole=False)
+        fault = Span(struck, 97.2, until)
+        assert not checks.broken(history([one], [run], spans=[STOP, fault]))
+
+    def test_call_given_up_without_planned_work(self):
+        one = given_up()
+        run = run_of(one, ended=100.5, whole=False)
+        early = Span('node-b', 95.0, 96.9, planned=True)
+        assert not checks.broken(history([one], [run], spans=[early]))
+
+    def test_no_call_lasts_to_the_end_of_a_grace_time(self):
+        longest = max(DEADLINES_MS.values()) / MS
+        assert SENT_AFTER_STOP_S + longest <= GRACE_S * 5 / 6
+
     def test_calls_held_past_their_deadline(self):
         held = [
             attempt(f'c-{number}', status=504, code=200, ended=101.6)
