Add a plan to the soak that restarts nodes in turn and leaves them slow

A node that has just started stands still for 0.3 s again and again for 3 to 6 s. All of that is planned work.

--- a/bench/soak/operator.py
+++ b/bench/soak/operator.py
@@ -66,17 +66,24 @@
     """Changes the routes again and again, and reads them."""
 
     def __init__(
-        self, addresses: list[str], seed: int, labels: list[int]
+        self,
+        addresses: list[str],
+        seed: int,
+        labels: list[int],
+        *,
+        more: int = 0,
     ) -> None:
         """Starts without changes.
 
         :param labels: gets the labels sent
+        :param more: fewest routes beyond those that callers use
         """
         self.publications: list[Publication] = []
         self.readings: list[Reading] = []
         self._addresses = addresses
         self._rng = random.Random(f'{seed} operator')
-        self._labels = labels
+        self.labels = labels
+        self._more = more
         self._base = 0
         self._newest = 0
 
@@ -88,7 +95,7 @@
         async with httpx.AsyncClient(timeout=ACK_S, trust_env=False) as http:
             publication = self._draft(valid=True)
             for _ in range(FIRST_TRIES):
-                await self._settle(http, publication, 0)
+                await self._settle(http, publication, self._more)
                 if publication.acked is not None:
                     self._base = publication.label
                     return
@@ -133,7 +140,9 @@
         drafts = [self._draft(valid=self._rng.random() >= INVALID_SHARE)]
         if self._rng.random() < RACE_SHARE:
             drafts.append(self._draft(valid=True))
-        extra = BIG_ROUTES if self._rng.random() < BIG_SHARE else 0
+        extra = self._more
+        if self._rng.random() < BIG_SHARE:
+            extra += BIG_ROUTES
         await asyncio.gather(
             *(self._settle(http, draft, extra) for draft in drafts)
         )
@@ -144,7 +153,7 @@
         self._newest = max(self._newest, self._base) + 1
         draft = Publication(self._newest, self._base, valid, time.monotonic())
         self.publications.append(draft)
-        self._labels.append(draft.label)
+        self.labels.append(draft.label)
         return draft
 
     async def _settle(
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -1,4 +1,8 @@
-"""Draws what goes wrong in one run, and when, from a seed."""
+"""Draws what goes wrong in one run, and when, from a seed.
+
+:func:`draw` has faults of every kind. :func:`roll` has planned work only, so
+that what is promised beside it is checked all the time.
+"""
 
 import random
 from dataclasses import dataclass
@@ -9,6 +13,9 @@
 SERIES = 3  # most faults of one kind in quick succession
 HERD_SHARE = 0.25  # of the hits that are several processes at once
 HERD = 3  # processes that are hit at the same moment
+ROLL_GAP_S = (1.0, 3.5)  # between two nodes; a stop lasts longer
+ROLL_SLOW_S = (3.0, 6.0)  # time for which a node that has started is slow
+RELOAD_SHARE = 0.3  # of the nodes, between two that are restarted
 
 
 class Kind(Enum):
@@ -26,6 +33,7 @@
     WIPE = 'wipe'
     TORN = 'torn'
     DRAIN = 'drain'
+    ROLL = 'roll'
 
 
 class Role(Enum):
@@ -99,6 +107,25 @@
     return faults
 
 
+def roll(seed: int, seconds: float, targets: list[Target]) -> list[Fault]:
+    """Returns restarts of the nodes in turn that overlap, beside reloads."""
+    rng = random.Random(f'{seed} roll')
+    nodes = [one.name for one in targets if one.role is Role.NODE]
+    faults: list[Fault] = []
+    waiting: list[str] = []
+    at = WARM_S
+    end = seconds - QUIET_S - ROLL_SLOW_S[1]
+    while at < end:
+        if not waiting:
+            waiting = rng.sample(nodes, len(nodes))
+        slow_s = rng.uniform(*ROLL_SLOW_S)
+        faults.append(Fault(at, Kind.ROLL, waiting.pop(), slow_s))
+        at += rng.uniform(*ROLL_GAP_S)
+        if rng.random() < RELOAD_SHARE:
+            faults.append(Fault(min(at, end), Kind.HUP, rng.choice(nodes), 0))
+    return faults
+
+
 def _hit(
     rng: random.Random, kind: Kind, role: Role, targets: list[Target]
 ) -> list[str]:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -11,7 +11,7 @@
 from bench.soak.checks import broken
 from bench.soak.history import Drain, History, Run
 from bench.soak.operator import Operator
-from bench.soak.plan import QUIET_S, Fault, draw
+from bench.soak.plan import QUIET_S, Fault, draw, roll
 from bench.soak.world import World
 
 SECONDS = 45.0  # of traffic in one run
@@ -24,6 +24,7 @@
     'ledger-1': 'ledger',
     'ledger-2': 'ledger',
 }
+ROLL_ROUTES = 1500  # in each set while nodes are restarted in turn
 AT_ONCE = 32  # faults under way at the same time
 
 
@@ -35,14 +36,28 @@
     summary: str
 
 
-def soak(seed: int, seconds: float, folder: Path, *, timed: bool) -> Found:
-    """Runs a seed and returns what did not hold; see :func:`broken`."""
+def soak(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    *,
+    timed: bool,
+    rolling: bool = False,
+) -> Found:
+    """Runs a seed and returns what did not hold; see :func:`broken`.
+
+    :param rolling: whether nodes are restarted in turn and nothing else is
+        done to them
+    """
     folder.mkdir(parents=True, exist_ok=True)
     world = World(folder, SERVERS)
-    faults = draw(seed, seconds, world.targets)
+    operator = Operator(
+        world.seeds, seed, [], more=ROLL_ROUTES if rolling else 0
+    )
+    faults = (roll if rolling else draw)(seed, seconds, world.targets)
     try:
         world.start()
-        history = asyncio.run(_play(world, seed, seconds, faults))
+        history = asyncio.run(_play(world, operator, seed, seconds, faults))
     finally:
         world.stop()
     history.ended_alone = world.ended_alone
@@ -60,13 +75,15 @@
 
 
 async def _play(
-    world: World, seed: int, seconds: float, faults: list[Fault]
+    world: World,
+    operator: Operator,
+    seed: int,
+    seconds: float,
+    faults: list[Fault],
 ) -> History:
-    labels: list[int] = []
-    operator = Operator(world.seeds, seed, labels)
     await operator.first()
     callers = [
-        Caller(f'{node}-{number}', node, address, seed, labels)
+        Caller(f'{node}-{number}', node, address, seed, operator.labels)
         for node, address in world.outbound.items()
         for number in range(CALLERS)
     ]
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -16,6 +16,9 @@
 STOP_WAIT_S = 8.0
 DRAINED_S = 3.0  # after which a server that left starts anew
 DOWN_S = 0.3  # shortest time that a killed process stays down
+STALL_S = 0.3  # for which a node that has just started reads nothing
+BETWEEN_STALLS_S = 0.3
+PLANNED = frozenset((Kind.TERM, Kind.HUP, Kind.ROLL))
 GARBAGE = b'\x00\x17half of a record'
 SHARED: dict[str, dict[str, object]] = {
     'distribution': {
@@ -111,7 +114,7 @@
         if name in self._down:
             return
         begin = time.monotonic()
-        planned = fault.kind in {Kind.TERM, Kind.HUP}
+        planned = fault.kind in PLANNED
         slot = len(self.spans)
         self.spans.append(Span(name, begin, float('inf'), planned=planned))
         actions = {
@@ -119,6 +122,7 @@
             Kind.TERM: self._term,
             Kind.FREEZE: self._freeze,
             Kind.HUP: self._hup,
+            Kind.ROLL: self._roll,
             Kind.WIPE: self._kill,
             Kind.TORN: self._kill,
             Kind.DRAIN: self._drain,
@@ -155,6 +159,20 @@
             process.kill()
         self._again(fault.target)
 
+    def _roll(self, fault: Fault) -> None:
+        """Starts a node anew, which is slow for a time, as on a small VM."""
+        self._term(fault)
+        until = time.monotonic() + fault.for_s
+        while time.monotonic() < until:
+            time.sleep(BETWEEN_STALLS_S)
+            self._stall(fault.target)
+
+    def _stall(self, name: str) -> None:
+        process = self.processes[name]
+        process.freeze()
+        time.sleep(STALL_S)
+        process.thaw()
+
     def _freeze(self, fault: Fault) -> None:
         process = self.processes[fault.target]
         process.freeze()
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -1,5 +1,7 @@
 """The soak's plan and its checks: each finds the fault that it is there for."""
 
+import hashlib
+
 import pytest
 
 from bench.soak import checks
@@ -14,8 +16,16 @@
     Run,
     Span,
 )
-from bench.soak.plan import QUIET_S, WARM_S, Kind, Role, Target, draw
-from bench.soak.world import GRACE_S
+from bench.soak.plan import (
+    QUIET_S,
+    WARM_S,
+    Kind,
+    Role,
+    Target,
+    draw,
+    roll,
+)
+from bench.soak.world import GRACE_S, PLANNED
 from papayalock.result import Code
 
 SENT_AFTER_STOP_S = 3.0  # last calls for which a stop answers
@@ -95,7 +105,7 @@
 
     def test_has_every_kind_and_role_over_some_seeds(self):
         faults = [one for seed in range(40) for one in draw(seed, 60, TARGETS)]
-        assert {one.kind for one in faults} == set(Kind)
+        assert {one.kind for one in faults} == set(Kind) - {Kind.ROLL}
         assert {one.target for one in faults} == {one.name for one in TARGETS}
 
     def test_has_series_and_overlaps(self):
@@ -104,11 +114,58 @@
         assert any(one.target == two.target for one, two in pairs)
         assert any(two.at < one.at + one.for_s for one, two in pairs)
 
+    @pytest.mark.parametrize(
+        ('seed', 'digest'),
+        [(1, '9dd02edce809'), (8, '04e7c1e8c1d0')],
+    )
+    def test_of_a_kept_seed_stays_the_same(self, seed, digest):
+        words = ' '.join(
+            f'{one.at:.3f} {one.kind.value} {one.target} {one.for_s:.3f}'
+            for one in draw(seed, 45, TARGETS)
+        )
+        assert hashlib.sha256(words.encode()).hexdigest()[:12] == digest
+
+
+class TestRollingPlan:
+    def test_is_the_same_for_a_seed(self):
+        assert roll(3, 60, TARGETS) == roll(3, 60, TARGETS)
+        assert roll(3, 60, TARGETS) != roll(4, 60, TARGETS)
+
+    @pytest.mark.parametrize('seed', range(40))
+    def test_keeps_to_its_time_and_to_planned_work_at_nodes(self, seed):
+        faults = roll(seed, 60, TARGETS)
+        assert {one.kind for one in faults} <= PLANNED
+        assert all(one.target.startswith('node-') for one in faults)
+        assert min(one.at for one in faults) >= WARM_S
+        assert max(one.at + one.for_s for one in faults) <= 60 - QUIET_S
+        assert faults == sorted(faults, key=lambda one: one.at)
+
+    @pytest.mark.parametrize('seed', range(40))
+    def test_restarts_every_node_before_one_again(self, seed):
+        rolled = [
+            one.target
+            for one in roll(seed, 60, TARGETS)
+            if one.kind is Kind.ROLL
+        ]
+        assert len(set(rolled[:3])) == 3
+        assert len(set(rolled[3:6])) == len(rolled[3:6])
+
+    def test_has_reloads_and_restarts_that_overlap(self):
+        faults = roll(1, 200, TARGETS)
+        assert any(one.kind is Kind.HUP for one in faults)
+        rolls = [one for one in faults if one.kind is Kind.ROLL]
+        pairs = zip(rolls, rolls[1:], strict=False)
+        assert any(two.at < one.at + one.for_s for one, two in pairs)
+
 
 class TestKeptSeeds:
     def test_can_be_read(self):
         assert 8 in kept_seeds()
 
+    def test_of_the_rolling_plan_are_apart(self):
+        assert 1 in kept_seeds(rolling=True)
+        assert 1 not in kept_seeds()
+
 
 class TestChecks:
     def test_find_nothing_in_a_good_run(self):
