--- a/papayalock/node/relay.py
+++ b/papayalock/node/relay.py
@@ -103,7 +103,7 @@
             return failed
         if trip.call.header(HOP_HEADER):
             with SignsOfLife(trip.reply, self._alive_ms) as signs:
-                trip.on_silent = partial(_show_silence, signs)
+                trip.gives_up = partial(_show_silence, signs)
                 return await self._receive(trip)
         if trip.route.repeatable:
             return await self._run_repeatable(trip)
@@ -168,7 +168,7 @@
             avoid = avoid | self._tried(server)
             trip.tries += 1
             trip.again = None
-            trip.on_silent = partial(self._gives_up, trip, avoid, budget)
+            trip.gives_up = partial(self._gives_up, trip, avoid, budget)
             outcome = await self._try(trip, server)
             if isinstance(outcome, Delivered):
                 return outcome
--- a/papayalock/node/tries.py
+++ b/papayalock/node/tries.py
@@ -68,7 +68,9 @@
                 order = self._order(plan, peer, may_wait=may_wait)
                 outcome = await self._inbound.run(order, plan.call)
             else:
-                outcome = await self._over(plan, peer, on_silent, may_wait)
+                outcome = await self._through_node(
+                    plan, peer, on_silent, may_wait
+                )
             code = self._judged(plan, trail, outcome)
         except asyncio.CancelledError:
             code = Code.DEADLINE_BEFORE_RUN
@@ -108,7 +110,7 @@
             may_wait=may_wait,
         )
 
-    async def _over(
+    async def _through_node(
         self, plan: Plan, peer: Peer, on_silent: OnSilent, may_wait: bool
     ) -> Outcome:
         """Sends a call to another node.
--- a/papayalock/node/trip.py
+++ b/papayalock/node/trip.py
@@ -61,7 +61,7 @@
 
 
 TryOutcome = Delivered | Failed
-OnSilent = Callable[[], bool]  # whether a silent try is given up for another
+GivesUp = Callable[[], bool]  # whether a silent try ends, as another follows
 
 
 def final_failure(earlier: Failed | None, newer: Failed) -> Failed:
@@ -100,7 +100,7 @@
     return Attempt(name, int(incarnation))
 
 
-def _stay() -> bool:
+def _never() -> bool:
     return False
 
 
@@ -114,7 +114,7 @@
         'caller',
         'deadline',
         'depth',
-        'on_silent',
+        'gives_up',
         'part',
         'path',
         'recorded',
@@ -138,7 +138,7 @@
         self.recorded: Answer | None = None
         self.tries = 0
         self.again: Again | None = None  # granted while a try was silent
-        self.on_silent: OnSilent = _stay
+        self.gives_up: GivesUp = _never
 
     def bind(self, part: Part, route: Route, now: float) -> None:
         """Sets the route and from it the deadline."""
--- a/papayalock/node/watch.py
+++ b/papayalock/node/watch.py
@@ -110,5 +110,5 @@
         bound = self._bound
         if bound is None or bound.expired():
             return
-        if self._trip.on_silent():
+        if self._trip.gives_up():
             bound.reschedule(asyncio.get_running_loop().time())
