Name the file, line and column of errors in registers, rules and settings

`papayalock check` and `submit` told a syntax error only as "400 SYNTAX register: Invalid value (at end of document)". Now "400 SYNTAX mesh.toml:12:7: Invalid value", with the file as it was given; errors of meaning name the file and the line of the [[service]] or [[rule]]. Settings errors name the file; a byte order mark is accepted there too.

A number of over 4300 digits and lists nested too deeply, which the parser raises as other errors, are told as syntax errors too.

--- a/papayalock/config.py
+++ b/papayalock/config.py
@@ -1,14 +1,15 @@
 """Loads and checks the settings of a daemon."""
 
-import tomllib
 from pathlib import Path
 from typing import Any
 
 from papayalock.core.problems import Problems
 from papayalock.core.schema import check_document
+from papayalock.core.tomltext import TomlError, parse_toml
 from papayalock.durations import parse_duration_ms
-from papayalock.result import Code, SettingsError
+from papayalock.result import Code, PapayalockError, SettingsError
 from papayalock.settings import Settings
+from papayalock.texts import one_line, read_text
 
 DEFAULTS = Path(__file__).with_name('defaults.toml')
 
@@ -16,13 +17,23 @@
 def load_settings(path: Path) -> Settings:
     """Returns the settings of a file on top of the defaults.
 
-    :raises SettingsError: with every error found, one a line
+    :raises SettingsError: naming the file, with every error found
     """
+    own = _read(path)
+    try:
+        return make_settings(own)
+    except SettingsError as exc:
+        told = one_line(f'{path}: {exc.args[0]}')
+        raise SettingsError(exc.code, told) from exc
+
+
+def _read(path: Path) -> dict[str, Any]:
     try:
-        own = tomllib.loads(path.read_text())
-    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
-        raise SettingsError(Code.SETTINGS, f'{path}: {exc}') from exc
-    return make_settings(own)
+        return parse_toml(read_text(path))
+    except TomlError as exc:
+        raise SettingsError(Code.SETTINGS, exc.told(str(path))) from exc
+    except PapayalockError as exc:
+        raise SettingsError(Code.SETTINGS, exc.args[0]) from exc
 
 
 def make_settings(own: dict[str, Any]) -> Settings:
@@ -31,7 +42,7 @@
     :raises SettingsError: with every error found, one a line
     """
     problems = Problems()
-    merged = _merge(tomllib.loads(DEFAULTS.read_text()), own)
+    merged = _merge(parse_toml(DEFAULTS.read_text()), own)
     _read_durations(merged, '', problems)
     settings = check_document(merged, Settings, problems)
     if settings is not None:
--- a/papayalock/core/inventory.py
+++ b/papayalock/core/inventory.py
@@ -1,12 +1,13 @@
 """The register and rules of a mesh: parsing and checks of their meaning."""
 
 import itertools
-import tomllib
 from collections.abc import Iterable
 from typing import Any
 
 from papayalock.core.problems import Problems
 from papayalock.core.schema import Document, check_document
+from papayalock.core.source import Source, Sources
+from papayalock.core.tomltext import TomlError
 from papayalock.messages import (
     Operation,
     Problem,
@@ -46,37 +47,40 @@
 
 
 def parse_inventory(
-    register_text: str, rules_text: str
+    register_text: str,
+    rules_text: str,
+    names: tuple[str, str] = ('register', 'rules'),
 ) -> tuple[Inventory | None, list[Problem]]:
-    """Returns the inventory of two TOML texts, and every error in them."""
-    problems = Problems()
-    register = _parse(register_text, Register, 'register', problems)
-    rules = _parse(rules_text, Rules, 'rules', problems)
+    """Returns the inventory of two TOML texts, and every error in them.
+
+    :param names: the two files, as errors name them
+    """
+    sources = Sources(
+        Source(names[0], register_text), Source(names[1], rules_text)
+    )
+    register, problems = _parse(sources.register, Register)
+    rules, more = _parse(sources.rules, Rules)
+    problems += more
     if register is None or rules is None:
-        return None, problems.found
+        return None, problems
     inventory = Inventory(register, rules)
-    problems.found.extend(check_inventory(inventory))
-    return (None if problems.found else inventory), problems.found
+    problems += map(sources.located, check_inventory(inventory))
+    return (None if problems else inventory), problems
 
 
 def _parse(
-    text: str, kind: type[Document], name: str, problems: Problems
-) -> Document | None:
+    source: Source, kind: type[Document]
+) -> tuple[Document | None, list[Problem]]:
+    problems = Problems()
     try:
-        raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
-        problems.add(Code.SYNTAX, name, str(exc))
-        return None
-    for single, plural in (('service', 'services'), ('rule', 'rules')):
-        if single in raw:
-            raw[plural] = raw.pop(single)
-    for service in raw.get('services', ()):
-        if isinstance(service, dict) and 'operation' in service:
-            service['operations'] = service.pop('operation')
+        raw = source.parse()
+    except TomlError as exc:
+        problems.add(Code.SYNTAX, exc.place(source.name), exc.reason)
+        return None, problems.found
     document = check_document(raw, kind, problems)
     if document is None:
         _check_names(raw, problems)
-    return document
+    return document, [source.located(problem) for problem in problems.found]
 
 
 def _check_names(raw: dict[str, Any], problems: Problems) -> None:
--- a/papayalock/core/schema.py
+++ b/papayalock/core/schema.py
@@ -62,7 +62,7 @@
         _check_struct(raw, info.cls, where, problems)
         return
     if _is_struct_list(info) and isinstance(raw, list):
-        for place, element in _numbered(raw, where):
+        for place, element in numbered(raw, where):
             _check_struct(element, _item_type(info), place, problems)
         return
     try:
@@ -82,7 +82,8 @@
     return kind
 
 
-def _numbered(raw: list[Any], where: str) -> Iterator[tuple[str, Any]]:
+def numbered(raw: list[Any], where: str) -> Iterator[tuple[str, Any]]:
+    """Yields each element with its place: its name, or else its position."""
     for position, element in enumerate(raw):
         label = (
             element.get('name', position)
--- /dev/null
+++ b/papayalock/core/source.py
@@ -0,0 +1,101 @@
+"""Names the file and line of what an error is about."""
+
+import re
+from typing import Any
+
+from papayalock.core.schema import numbered
+from papayalock.core.tomltext import parse_toml
+from papayalock.messages import Problem
+from papayalock.result import Code
+
+HEADING = re.compile(r'\s*\[\[\s*(?P<kind>service|rule)s?\s*\]\]')
+ENTRY = re.compile(
+    r'(?P<kind>service|rule)s?(?P<label>\[.*?\])(?:\.|$)', re.DOTALL
+)
+
+
+class Source:
+    """The text of a register or rules, under the name its errors give."""
+
+    __slots__ = ('_lines', 'name', 'text')
+
+    def __init__(self, name: str, text: str) -> None:
+        """Starts without known lines.
+
+        :param name: the file as the operator gave it
+        """
+        self.name = name
+        self.text = text
+        self._lines: dict[str, list[int]] = {}
+
+    def parse(self) -> dict[str, Any]:
+        """Returns the document with its lists of tables under plural keys.
+
+        :raises TomlError: when the text is not TOML
+        """
+        raw = parse_toml(self.text)
+        _rename(raw, 'service')
+        _rename(raw, 'rule')
+        for service in _listed(raw, 'services'):
+            if isinstance(service, dict):
+                _rename(service, 'operation')
+        self._find_lines('service', _listed(raw, 'services'))
+        self._find_lines('rule', _listed(raw, 'rules'))
+        return raw
+
+    def located(self, problem: Problem) -> Problem:
+        """Returns a problem with this file, and the line of its table if known."""
+        return Problem(
+            code=problem.code,
+            where=f'{self.name}{self._line(problem)}: {problem.where}',
+            message=problem.message,
+        )
+
+    def _find_lines(self, kind: str, listed: list[Any]) -> None:
+        """Keeps the line of each table, if all of them have a heading."""
+        found = map(HEADING.match, self.text.split('\n'))
+        headings = [
+            number
+            for number, heading in enumerate(found, 1)
+            if heading and heading['kind'] == kind
+        ]
+        if len(headings) != len(listed):
+            return
+        places = numbered(listed, kind)
+        for (place, _), number in zip(places, headings, strict=True):
+            self._lines.setdefault(place, []).append(number)
+
+    def _line(self, problem: Problem) -> str:
+        """Returns the line of the table; of namesakes, only a duplicate's."""
+        entry = ENTRY.match(problem.where)
+        place = ''.join(entry.groups()) if entry else ''
+        lines = self._lines.get(place, [])
+        if len(lines) == 1 or (lines and problem.code == Code.DUPLICATE):
+            return f':{lines[-1]}'
+        return ''
+
+
+def _rename(table: dict[str, Any], key: str) -> None:
+    if key in table:
+        table[f'{key}s'] = table.pop(key)
+
+
+def _listed(raw: dict[str, Any], key: str) -> list[Any]:
+    found = raw.get(key)
+    return found if isinstance(found, list) else []
+
+
+class Sources:
+    """The register and the rules of one inventory."""
+
+    __slots__ = ('register', 'rules')
+
+    def __init__(self, register: Source, rules: Source) -> None:
+        """Keeps both documents."""
+        self.register = register
+        self.rules = rules
+
+    def located(self, problem: Problem) -> Problem:
+        """Returns a problem in the meaning of the inventory with its file."""
+        in_rules = problem.where.startswith('rule[')
+        return (self.rules if in_rules else self.register).located(problem)
--- /dev/null
+++ b/papayalock/core/tomltext.py
@@ -0,0 +1,68 @@
+"""Parses TOML and tells the place of an error."""
+
+import re
+import tomllib
+from typing import Any
+
+from papayalock.texts import one_line
+
+PLACE = re.compile(
+    r'(?P<reason>.*) \(at '
+    r'(?:line (?P<line>\d+), column (?P<column>\d+)|end of document)\)',
+    re.DOTALL,
+)
+
+
+class TomlError(Exception):
+    """A text that is not TOML."""
+
+    def __init__(self, reason: str, line: int = 0, column: int = 0) -> None:
+        """Keeps the reason and the place.
+
+        :param line: counted from 1, as is the column; 0 when unknown
+        """
+        super().__init__(reason)
+        self.reason = reason
+        self.line = line
+        self.column = column
+
+    def place(self, name: str) -> str:
+        """Returns the file with line and column, where they are known."""
+        return f'{name}:{self.line}:{self.column}' if self.line else name
+
+    def told(self, name: str) -> str:
+        """Returns the file, the place and the reason."""
+        return f'{self.place(name)}: {self.reason}'
+
+
+def parse_toml(text: str) -> dict[str, Any]:
+    """Returns the parsed document.
+
+    :raises TomlError: when the text is not TOML
+    """
+    try:
+        return tomllib.loads(text)
+    except ValueError as exc:
+        raise locate(str(exc), text) from exc
+    except RecursionError as exc:
+        raise TomlError('nested too deeply') from exc
+
+
+def locate(message: str, text: str) -> TomlError:
+    """Returns the error that a message of the parser tells.
+
+    :param text: the text that was parsed; its end is the end of its last line
+    """
+    found = PLACE.fullmatch(message)
+    if found is None:
+        return TomlError(one_line(message))
+    line, column = _end(text)
+    if found['line']:
+        line, column = int(found['line']), int(found['column'])
+    return TomlError(one_line(found['reason']), line, column)
+
+
+def _end(text: str) -> tuple[int, int]:
+    """Returns the place after the last character of the last line."""
+    lines = text.replace('\r\n', '\n').removesuffix('\n').split('\n')
+    return len(lines), len(lines[-1]) + 1
--- /dev/null
+++ b/papayalock/texts.py
@@ -0,0 +1,24 @@
+"""Reads text files and prepares texts for people."""
+
+from pathlib import Path
+
+from papayalock.result import Code, PapayalockError
+
+
+def read_text(path: str | Path) -> str:
+    """Returns the text of a file, without a byte order mark.
+
+    :raises PapayalockError: ``FILE_UNREADABLE``, naming the file and why
+    """
+    try:
+        return Path(path).read_text(encoding='utf-8-sig')
+    except OSError as exc:
+        reason = exc.strerror or str(exc)
+    except UnicodeDecodeError as exc:
+        reason = f'not UTF-8 text at byte {exc.start}'
+    raise PapayalockError(Code.FILE_UNREADABLE, f'{path}: {reason}')
+
+
+def one_line(text: str) -> str:
+    """Returns a text with its line ends replaced by spaces."""
+    return ' '.join(text.splitlines())
--- a/papayalock/ui/submit.py
+++ b/papayalock/ui/submit.py
@@ -12,10 +12,16 @@
 from papayalock.core.derive import derive_parts, part_digest
 from papayalock.core.inventory import Inventory
 from papayalock.core.ledger import describe_change
-from papayalock.messages import Register, Service, VersionDetail
+from papayalock.core.source import Source, Sources
+from papayalock.messages import Problem, Register, Service, VersionDetail
 from papayalock.result import Code, PapayalockError
 from papayalock.ui.client import ControlClient, client_of, put
-from papayalock.ui.files import add_files, read_inventory
+from papayalock.ui.files import (
+    add_files,
+    file_names,
+    put_problems,
+    read_inventory,
+)
 from papayalock.ui.status import behind
 
 HELP = 'submit a register and rules as a new version'
@@ -69,7 +75,7 @@
     answer = _send(client, _body(detail, inventory, args, base))
     code = Code(answer['code'])
     if code != Code.DONE:
-        put(f'{code.value} {code.name}: {answer["message"]}')
+        _put_refusal(answer, args)
         return code
     put(f'accepted as version {answer["version"]}')
     return (
@@ -77,6 +83,18 @@
     )
 
 
+def _put_refusal(answer: dict[str, Any], args: argparse.Namespace) -> None:
+    """Prints a refusal; the control VM does not know the names of files."""
+    code = Code(answer['code'])
+    problems = msgspec.convert(answer.get('problems', []), list[Problem])
+    register, rules = file_names(args)
+    sources = Sources(Source(register, ''), Source(rules, ''))
+    put_problems(map(sources.located, problems))
+    put(
+        f'{code.value} {code.name}: {answer["message"] or "nothing was accepted"}'
+    )
+
+
 def _current(client: ControlClient) -> int:
     return max(
         (int(one['version']) for one in client.get_all('/v1/status')), default=0
--- a/test/test_config.py
+++ b/test/test_config.py
@@ -16,6 +16,13 @@
     return str(caught.value)
 
 
+def refused_file(path) -> str:
+    with pytest.raises(SettingsError) as caught:
+        load_settings(path)
+    assert caught.value.code == Code.SETTINGS
+    return str(caught.value)
+
+
 class TestSettings:
     def test_defaults_hold_for_what_is_not_named(self):
         settings = make_settings({**NODE, 'relay': {'idle_ms': 50}})
@@ -62,6 +69,35 @@
         with pytest.raises(SettingsError):
             load_settings(path)
 
+    @pytest.mark.parametrize(
+        ('text', 'told'),
+        [
+            (b'role ==\n', 'x.toml:1:7: Invalid value'),
+            (b'name = "a"\r\nrole ==\r\n', 'x.toml:2:7: Invalid value'),
+            (b'name = "a"\nrole = ', 'x.toml:2:8: Invalid value'),
+            (b'\xef\xbb\xbfrole ==\n', 'x.toml:1:7: Invalid value'),
+            (b'role = "\xff"', 'x.toml: not UTF-8 text at byte 8'),
+            (b'rolle = "node"', 'x.toml: rolle: unknown key'),
+        ],
+    )
+    def test_the_file_is_named_with_the_place(self, tmp_path, text, told):
+        path = tmp_path / 'x.toml'
+        path.write_bytes(text)
+        assert f'700 SETTINGS: {tmp_path}/{told}' in refused_file(path)
+
+    def test_a_missing_file_is_named_once(self, tmp_path):
+        told = refused_file(tmp_path / 'x.toml')
+        assert told == (
+            f'700 SETTINGS: {tmp_path}/x.toml: No such file or directory'
+        )
+
+    def test_a_byte_order_mark_is_accepted(self, tmp_path):
+        path = tmp_path / 'x.toml'
+        path.write_bytes(
+            b'\xef\xbb\xbf[control]\r\naddresses = ["127.0.0.1:1"]\r\n'
+        )
+        assert load_settings(path).control.addresses == ['127.0.0.1:1']
+
     def test_every_default_has_a_comment(self):
         for line in DEFAULTS.read_text().splitlines():
             assert '=' not in line or '#' in line, line
--- /dev/null
+++ b/test/test_tomltext.py
@@ -0,0 +1,72 @@
+"""TOML texts: the place and the reason of an error, whatever its wording."""
+
+import pytest
+
+from papayalock.core.tomltext import TomlError, locate, parse_toml
+
+
+def fault(text: str) -> TomlError:
+    with pytest.raises(TomlError) as caught:
+        parse_toml(text)
+    return caught.value
+
+
+class TestPlace:
+    @pytest.mark.parametrize(
+        ('text', 'line', 'column', 'reason'),
+        [
+            ('a = 1\nb == 2\n', 2, 4, 'Invalid value'),
+            ('a = 1\r\nb == 2\r\n', 2, 4, 'Invalid value'),
+            ('a = 1\na = 2\n', 2, 6, 'Cannot overwrite a value'),
+            ('a = 1\nb = \n', 2, 5, 'Invalid value'),
+        ],
+    )
+    def test_line_and_column_are_taken_from_the_message(
+        self, text, line, column, reason
+    ):
+        exc = fault(text)
+        assert (exc.line, exc.column, exc.reason) == (line, column, reason)
+
+    @pytest.mark.parametrize(
+        ('text', 'line', 'column'),
+        [
+            ('a = ', 1, 5),
+            ('a = 1\nb = [1,', 2, 8),
+            ('a = 1\nb = [1,\n', 2, 8),
+            ('a = 1\r\nb = [1,\r\n', 2, 8),
+            ('a = 1\nb = [\n\n', 3, 1),
+            ('# \u2028 is no line end\na = [', 2, 6),
+        ],
+    )
+    def test_the_end_of_the_text_is_its_last_line(self, text, line, column):
+        exc = fault(text)
+        assert (exc.line, exc.column) == (line, column)
+        assert 'end of document' not in exc.reason
+
+    def test_the_file_goes_before_the_place(self):
+        assert fault('a = ').told('mesh.toml') == 'mesh.toml:1:5: Invalid value'
+
+
+class TestOtherWordings:
+    @pytest.mark.parametrize(
+        'message',
+        ['', 'odd', 'odd (at line)', 'odd (at line x, column y)', '(at line 1'],
+    )
+    def test_a_message_without_a_place_is_kept(self, message):
+        exc = locate(message, 'a = 1')
+        assert (exc.line, exc.column, exc.reason) == (0, 0, message)
+
+    def test_a_reason_stands_on_one_line(self):
+        exc = locate('odd\nand odder (at line 3, column 1)', '')
+        assert exc.told('x') == 'x:3:1: odd and odder'
+        assert locate('odd\nand odder', '').told('x') == 'x: odd and odder'
+
+    def test_a_number_too_long_to_read_is_no_crash(self):
+        exc = fault(f'a = {"1" * 10000}')
+        assert exc.told('x').startswith('x: Exceeds the limit')
+
+    def test_tables_nested_too_deeply_are_no_crash(self):
+        assert fault('a = ' + '[' * 10000).told('x') == 'x: nested too deeply'
+
+    def test_an_empty_text_is_an_empty_document(self):
+        assert parse_toml('') == {}
