--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -1,6 +1,7 @@
 """Starts and stops the processes of a small mesh on loopback."""
 
 import contextlib
+import fcntl
 import json
 import os
 import random
@@ -8,9 +9,11 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Callable, Mapping
 from pathlib import Path
+from typing import IO
 from urllib.request import urlopen
 
 from bench.link import Links
@@ -19,11 +22,13 @@
 START_TIMEOUT_S = 20.0
 POLL_S = 0.05
 LISTEN_PORTS = (10240, 32768)
+PORT_LOCKS = Path(tempfile.gettempdir()) / 'papayalock-ports'
 _RNG = random.SystemRandom()
+_reserved: list[IO[bytes]] = []  # lock files, held until this process ends
 
 
 def free_port() -> int:
-    """Returns a port that nothing listens on now.
+    """Returns a port that nothing listens on now, and no other run has chosen.
 
     Ports for outgoing connections begin at 32768 on most systems. One of
     those could be taken while the process that listens there is down.
@@ -31,10 +36,26 @@
     while True:
         port = _RNG.randrange(*LISTEN_PORTS)
         with socket.socket() as probe, contextlib.suppress(OSError):
+            _reserve(port)
             probe.bind(('127.0.0.1', port))
             return port
 
 
+def _reserve(port: int) -> None:
+    """Locks a port against other runs on this machine.
+
+    :raises OSError: when one of them has it
+    """
+    PORT_LOCKS.mkdir(exist_ok=True)
+    opened = (PORT_LOCKS / str(port)).open('wb')
+    try:
+        fcntl.flock(opened, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        opened.close()
+        raise
+    _reserved.append(opened)
+
+
 def toml_text(document: Mapping[str, object]) -> str:
     """Returns TOML for settings of plain values, lists and one level of tables."""
     plain = [
