Log the limit that a backend server states in its responses

Callers' servers got two and a half times the calls that they had said they take, and neither logs nor metrics could tell whether a node had seen the limit, nor how many calls it let through.

The dialects now read what a server states of itself in a response (ServerNotice: limit, leaving), the monitor of the server keeps the limit, and the node logs its changes and exports it beside the number of calls that got a slot. Nothing acts on it yet. Responses can overtake each other, so one without a limit counts only if its call was sent after the limit was last stated; responses of another server at the address state nothing.

--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -149,6 +149,7 @@
         self.failing = 0.0  # smoothed share of failed calls
         self.usage = PriorityUsage()
         self._least_urgent = 0  # of the calls seen so far
+        self.started = 0  # number of calls that have got a slot
         self.running: set[Job] = set()
         self._waiting: list[Job] = []
         self._sequence = itertools.count()
@@ -332,4 +333,5 @@
 
     def _start(self, job: Job, now: float) -> None:
         job.started = now
+        self.started += 1
         self.running.add(job)
--- a/papayalock/core/heartbeats.py
+++ b/papayalock/core/heartbeats.py
@@ -6,7 +6,7 @@
 
 from enum import Enum
 
-from papayalock.messages import Announcement
+from papayalock.messages import Announcement, ServerNotice
 
 MS_PER_S = 1000
 CLOSE_AFTER_DRAIN_SHARE = 0.6  # of the drain time; no calls are forwarded later
@@ -29,10 +29,12 @@
     __slots__ = (
         '_close_after_s',
         '_lease_s',
+        '_limit_stated_at',
         'announcement',
         'changed_sequence',
         'draining_since',
         'lease_until',
+        'limit',
     )
 
     def __init__(self, lease_ms: int, drain_ms: int) -> None:
@@ -46,6 +48,8 @@
         self.lease_until = float('-inf')
         self.draining_since: float | None = None
         self.changed_sequence = 0
+        self.limit: float | None = None  # requests per second; None for none
+        self._limit_stated_at = float('-inf')
         self._lease_s = lease_ms / MS_PER_S
         self._close_after_s = drain_ms / MS_PER_S * CLOSE_AFTER_DRAIN_SHARE
 
@@ -57,7 +61,7 @@
         if current is not None and _order_key(heartbeat) <= _order_key(current):
             return HeartbeatEffect.STALE
         if current is None or _start_id(current) != _start_id(heartbeat):
-            self.draining_since = None
+            self._forget_start()
         had_expired = self.lease_expired(now)
         self.announcement = heartbeat
         self.lease_until = now + self._lease_s
@@ -89,6 +93,33 @@
             return HeartbeatEffect.STALE
         return self._start_draining(now)
 
+    def record_notice(
+        self,
+        serving: Announcement,
+        notice: ServerNotice,
+        sent_at: float,
+        now: float,
+    ) -> bool:
+        """Records what the server stated in a response.
+
+        Responses may overtake each other: one without a limit lifts the limit
+        only if its call was sent after the limit was last stated.
+
+        :param serving: the start of the server that sent the response
+        :param sent_at: time at which the call of the response was sent
+        :returns: whether the limit changed
+        """
+        current = self.announcement
+        if current is None or not _is_same_start(serving, current):
+            return False
+        before = self.limit
+        if notice.limit is not None:
+            self._limit_stated_at = now
+            self.limit = notice.limit
+        elif sent_at >= self._limit_stated_at:
+            self.limit = None
+        return self.limit != before
+
     def expire_lease(self) -> None:
         """Ends the lease because another server has the address.
 
@@ -116,6 +147,12 @@
             return None
         return self.announcement
 
+    def _forget_start(self) -> None:
+        """Clears the state that ended with the previous start of the server."""
+        self.draining_since = None
+        self.limit = None
+        self._limit_stated_at = float('-inf')
+
     def _start_draining(self, now: float) -> HeartbeatEffect:
         if self.draining_since is not None:
             return HeartbeatEffect.RENEWED
@@ -133,6 +170,17 @@
     return announcement.server, announcement.born_ms
 
 
+def _is_same_start(one: Announcement, other: Announcement) -> bool:
+    """Whether two announcements are of one start of a server.
+
+    A server found by a health check has no known start time.
+    """
+    known_differs = (
+        one.born_ms != other.born_ms and one.born_ms and other.born_ms
+    )
+    return one.server == other.server and not known_differs
+
+
 def _content(announcement: Announcement) -> tuple[object, ...]:
     return (
         announcement.server,
--- a/papayalock/dialect.py
+++ b/papayalock/dialect.py
@@ -10,7 +10,12 @@
 from typing import Protocol
 
 from papayalock.httpclient import Headers
-from papayalock.messages import Announcement, PublishRes, RouteSet
+from papayalock.messages import (
+    Announcement,
+    PublishRes,
+    RouteSet,
+    ServerNotice,
+)
 from papayalock.node.http import Call
 from papayalock.result import Code
 
@@ -80,6 +85,13 @@
         """
         ...
 
+    def read_notice(self, headers: Headers) -> ServerNotice:
+        """Returns what a backend server states about itself in a response.
+
+        :raises PapayalockError: ``BAD_MESSAGE`` if it is malformed
+        """
+        ...
+
     def read_server_name(self, status: int, headers: Headers) -> str:
         """Returns the server name in a response to a health check.
 
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -325,6 +325,34 @@
     ] = 0
 
 
+Limit: TypeAlias = Annotated[
+    float,
+    Meta(
+        description='Requests per second that it accepts from all nodes together; null for no limit.',
+        ge=0.0,
+    ),
+]
+
+
+class ServerNotice(Struct):
+    """
+    What a backend server states about itself in a response.
+    """
+
+    limit: (
+        Annotated[
+            Limit,
+            Meta(
+                description='Requests per second that it accepts from all nodes together; null for no limit.'
+            ),
+        ]
+        | None
+    ) = None
+    leaving: Annotated[bool, Meta(description='Whether it is about to shut down.')] = (
+        False
+    )
+
+
 class ControlPeer(Struct):
     """
     A control VM that nodes may poll.
--- a/papayalock/native.py
+++ b/papayalock/native.py
@@ -1,5 +1,7 @@
 """The project's own HTTP dialect, for deployments without an adapter."""
 
+import re
+
 import msgspec
 
 from papayalock.dialect import (
@@ -9,7 +11,12 @@
     ErrorResponse,
 )
 from papayalock.httpclient import Headers
-from papayalock.messages import Announcement, PublishRes, RouteSet
+from papayalock.messages import (
+    Announcement,
+    PublishRes,
+    RouteSet,
+    ServerNotice,
+)
 from papayalock.node.http import OUTCOME_HEADER, Call, http_status
 from papayalock.result import Code, PapayalockError
 
@@ -17,6 +24,8 @@
 REMAINING_HEADER = b'papayalock-remaining-ms'
 SERVER_HEADER = b'papayalock-server'
 CALLER_HEADER = b'papayalock-caller'
+LIMIT_HEADER = b'papayalock-limit'
+LEAVING_HEADER = b'papayalock-leaving'
 # Set by the node; values sent by the caller are dropped.
 OVERWRITTEN_HEADERS = frozenset(
     (REMAINING_HEADER, SERVER_HEADER, CALLER_HEADER)
@@ -26,6 +35,7 @@
 CONFLICT = 409
 INVALID = 400
 UNAVAILABLE = 503
+_RATE = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?')
 _ANNOUNCEMENT = msgspec.json.Decoder(Announcement)
 _ROUTE_SET = msgspec.json.Decoder(RouteSet)
 
@@ -38,6 +48,22 @@
     return next((content for key, content in headers if key == name), b'')
 
 
+def make_notice(limit: bytes, leaving: bytes) -> ServerNotice:
+    """Returns the notice in two headers of a backend server's response.
+
+    :param limit: requests per second as a decimal number, b'' for no limit
+    :param leaving: b'1' if the server is about to shut down
+    :raises PapayalockError: ``BAD_MESSAGE`` if the limit is not a number
+    """
+    if limit and not _RATE.fullmatch(limit):
+        raise PapayalockError(
+            Code.BAD_MESSAGE, f'{limit!r} is not a request rate'
+        )
+    return ServerNotice(
+        limit=float(limit) if limit else None, leaving=leaving == b'1'
+    )
+
+
 class NativeCalls:
     """Implements ``dialect.CallDialect``."""
 
@@ -71,6 +97,13 @@
             return Code(int(outcome))
         return Code.DONE
 
+    def read_notice(self, headers: Headers) -> ServerNotice:
+        """Reads the limit and the leaving header."""
+        return make_notice(
+            first_header(headers, LIMIT_HEADER),
+            first_header(headers, LEAVING_HEADER),
+        )
+
     def read_server_name(self, status: int, headers: Headers) -> str:
         """Reads the server header of a successful health check."""
         if status != OK:
--- a/papayalock/node/hostmetrics.py
+++ b/papayalock/node/hostmetrics.py
@@ -11,6 +11,7 @@
 from papayalock.settings import Settings
 
 OK = 200
+NO_LIMIT = -1.0
 TEXT = (b'content-type', b'text/plain; version=0.0.4')
 MAX_PRIORITY_LABEL = 16  # bounds the label; greater priorities share it
 BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
@@ -73,12 +74,15 @@
         """Returns the metrics in the Prometheus text format."""
         load = self._gate.load()
         agent = self._agent
+        limit = agent.backend_monitor.limit
         gauges = {
             'version': agent.configuration.version,
             'servers': len(agent.placement.servers),
             'nodes': agent.placement.node_count,
             'jobs': load.jobs,
             'running': len(self._gate.running),
+            'started': self._gate.started,
+            'server_limit': NO_LIMIT if limit is None else limit,
             'slots': load.slots,
             'pace_ms': load.pace_ms,
             'failing': load.failing,
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -25,7 +25,7 @@
 from papayalock.node.slotqueue import AdmissionRefused, Slot, SlotQueue
 from papayalock.pool import Pool
 from papayalock.ports import Clock
-from papayalock.result import Code
+from papayalock.result import Code, PapayalockError
 
 log = logging.getLogger(__name__)
 
@@ -35,6 +35,8 @@
 CALLEE_FAILED_HEADER = b'papayalock-callee-failed'
 MAX_RESPONSE_BYTES = 16_777_216  # larger responses are not forwarded
 SERVICE_UNAVAILABLE = 503
+# Responses with these codes may come from another server or another call.
+NOT_OF_SERVER = frozenset((Code.OTHER_SERVER, Code.FOREIGN_ANSWER))
 # Event loop lag from which on a caller may have cancelled its call unnoticed.
 LOOP_STALL_MS = 100
 # Passes of the event loop after which a closed connection has been noticed.
@@ -180,9 +182,7 @@
         req = self._request(call, metadata)
         failures = self.callee_failures
         try:
-            outcome = await self._exchange(
-                req, serving.address, order, remaining_ms
-            )
+            outcome = await self._exchange(req, serving, order, remaining_ms)
         except TransportError as exc:
             self._gate.record_outcome(failed=True)
             return NoResponse(exc.code, str(exc), arrived=exc.sent)
@@ -200,9 +200,14 @@
         return Request(call.method, call.target, headers, call.body)
 
     async def _exchange(
-        self, req: Request, address: str, order: HopOrder, remaining_ms: int
+        self,
+        req: Request,
+        serving: Announcement,
+        order: HopOrder,
+        remaining_ms: int,
     ) -> Outcome:
-        conn = await self._pool.acquire(address)
+        conn = await self._pool.acquire(serving.address)
+        sent_at = self._clock.monotonic()
         complete = False
         try:
             response = await conn.call(
@@ -212,15 +217,44 @@
                     headers, order.call
                 ),
             )
+            self._record_notice(serving, response, sent_at)
             body = await response.read_all(MAX_RESPONSE_BYTES)
             complete = True
         finally:
             if complete:
-                self._pool.release(address, conn)
+                self._pool.release(serving.address, conn)
             else:
                 conn.close()
         return self._outcome(response, body)
 
+    def _record_notice(
+        self, serving: Announcement, response: Response, sent_at: float
+    ) -> None:
+        """Records what the server states about itself in a response."""
+        fault = self._dialect.classify_response(
+            response.status, response.headers
+        )
+        if fault in NOT_OF_SERVER:
+            return
+        try:
+            notice = self._dialect.read_notice(response.headers)
+        except PapayalockError as exc:
+            log.warning(
+                'notice of the backend server is not valid',
+                extra={
+                    'server': serving.server,
+                    'code': exc.code,
+                    'reason': str(exc),
+                },
+            )
+            return
+        now = self._clock.monotonic()
+        if self._monitor.record_notice(serving, notice, sent_at, now):
+            log.info(
+                'backend server changed its limit',
+                extra={'server': serving.server, 'limit': self._monitor.limit},
+            )
+
     def _outcome(self, response: Response, body: bytes) -> Outcome:
         fault = self._dialect.classify_response(
             response.status, response.headers
--- a/test/test_heartbeats.py
+++ b/test/test_heartbeats.py
@@ -1,7 +1,7 @@
 """Heartbeats: order, final draining, and servers that stop sending them."""
 
 from papayalock.core.heartbeats import BackendMonitor, HeartbeatEffect
-from papayalock.messages import Announcement
+from papayalock.messages import Announcement, ServerNotice
 
 
 def beat(sequence: int, *, born: int = 1000, **changes) -> Announcement:
@@ -104,3 +104,29 @@
         assert monitor.serving(0.1) is None
         monitor.record_heartbeat(beat(2), 1)
         assert monitor.serving(1) is not None
+
+
+class TestNotice:
+    def play(self, *notices: tuple[float | None, float]) -> BackendMonitor:
+        """Records limits with the times at which their calls were sent."""
+        monitor = make_monitor()
+        monitor.record_heartbeat(beat(1), 0)
+        for now, (limit, sent_at) in enumerate(notices, start=10):
+            notice = ServerNotice(limit=limit)
+            monitor.record_notice(beat(1), notice, sent_at, now)
+        return monitor
+
+    def test_a_limit_holds_until_a_response_to_a_later_call_has_none(self):
+        assert self.play((8, 9)).limit == 8
+        assert self.play((8, 9), (3.5, 9)).limit == 3.5
+        assert self.play((8, 9), (None, 10.5)).limit is None
+
+    def test_a_response_that_was_overtaken_does_not_lift_the_limit(self):
+        assert self.play((8, 9), (None, 9.5)).limit == 8
+
+    def test_the_next_start_of_the_server_has_no_limit(self):
+        monitor = self.play((8, 9))
+        monitor.record_heartbeat(beat(1, born=2000), 20)
+        assert monitor.limit is None
+        monitor.record_notice(beat(1), ServerNotice(limit=8), 19, 21)
+        assert monitor.limit is None
--- a/test/test_inbound.py
+++ b/test/test_inbound.py
@@ -78,6 +78,32 @@
     return asyncio.run(play())
 
 
+def limited(response: bytes, limit: bytes) -> bytes:
+    return response.replace(
+        b'\r\ncontent', b'\r\npapayalock-limit: %s\r\ncontent' % limit
+    )
+
+
+class TestNotices:
+    def test_any_response_of_the_server_may_state_a_limit(self):
+        assert run(limited(OK, b'7.5'))[1].monitor.limit == 7.5
+        assert run(limited(FAILED, b'7.5'))[1].monitor.limit == 7.5
+        assert run(limited(SHED, b'7.5'))[1].monitor.limit == 7.5
+        assert run(OK)[1].monitor.limit is None
+
+    def test_a_response_of_another_server_states_nothing(self):
+        assert run(limited(OTHER, b'7.5'))[1].monitor.limit is None
+
+    def test_a_limit_that_cannot_be_read_changes_nothing(self):
+        async def play():
+            side = Side(limited(OK, b'7.5'), limited(OK, b'x'))
+            await side.run()
+            await side.run()
+            return side.monitor.limit
+
+        assert asyncio.run(play()) == 7.5
+
+
 class TestInbound:
     def test_a_complete_response_is_forwarded_and_frees_the_slot(self):
         outcome, side = run(OK)
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -8,7 +8,7 @@
 import pytest
 
 from papayalock.dialect import BackendMetadata, Departure
-from papayalock.messages import Announcement
+from papayalock.messages import Announcement, ServerNotice
 from papayalock.node.http import Call
 from papayalock.result import Code, PapayalockError
 
@@ -21,7 +21,8 @@
 
 PLATFORM_WORDS = re.compile(
     'x-server-stamp|x-target-instance|x-not-executed|x-caller-service'
-    '|x-request-deadline|x-instance-id|heartbeat_address|traffic_split'
+    '|x-request-deadline|x-instance-id|server-limit|server-leaving'
+    '|heartbeat_address|traffic_split'
     '|route_type|path_prefix|cold_remaining|control_plane|local_node'
     '|max_header_bytes|base_version|/v1/config|/v1/instances',
     re.IGNORECASE,
@@ -236,6 +237,21 @@
         assert not matches([(b'x-server-stamp', b's')], '1')
         assert matches([(b'x-not-executed', b'1')], '1')
 
+    def test_a_notice_states_a_limit_and_whether_the_server_leaves(self):
+        read = self.CALLS.read_notice
+        assert read([]) == ServerNotice()
+        assert read([(b'server-limit', b'7.5')]) == ServerNotice(limit=7.5)
+        assert read([(b'server-limit', b'0')]) == ServerNotice(limit=0)
+        assert read([(b'server-leaving', b'1')]) == ServerNotice(leaving=True)
+        assert read([(b'server-leaving', b'0')]) == ServerNotice()
+
+    @pytest.mark.parametrize(
+        'limit', [b'-1', b'nan', b'inf', b'1e9', b'x', b'1,5', b'9' * 40]
+    )
+    def test_a_limit_that_is_no_decimal_number_is_an_error(self, limit):
+        with pytest.raises(PapayalockError):
+            self.CALLS.read_notice([(b'server-limit', limit)])
+
     def test_the_server_name_is_read_from_a_successful_health_check(self):
         headers = [(b'x-instance-id', b'i-1')]
         assert self.CALLS.read_server_name(200, headers) == 'i-1'
