--- /dev/null
+++ b/test/hostmesh.py
@@ -0,0 +1,251 @@
+"""Nodes with host routing and their backend servers, connected in memory."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+from papayalock.config import make_settings
+from papayalock.core.admission import Job, ServerGate
+from papayalock.core.heartbeats import BackendMonitor
+from papayalock.core.placement import Placement
+from papayalock.httpclient import ClientConn, TransportError
+from papayalock.native import CALL_HEADER, REMAINING_HEADER, NativeCalls
+from papayalock.node.http import Call, Reply
+from papayalock.node.inbound import InboundProxy
+from papayalock.node.lag import LoopLag
+from papayalock.node.listener import HttpServer, ServerLimits
+from papayalock.node.outbound import OutboundProxy
+from papayalock.node.outcome import Outcome
+from papayalock.node.slotqueue import SlotQueue
+from papayalock.result import Code
+from test.test_heartbeats import beat
+from test.test_hostroutes import table
+from test.test_placement import endpoint
+from test.test_routesets import route
+from test.wires import FakeTransport, FastLoop, LoopClock
+
+SWEEP_S = 0.25
+SERVICE_S = 0.1
+SLOTS = 6
+
+
+class PipeTransport(FakeTransport):
+    """One end of a connection within the process."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.peer: PipeTransport | None = None
+        self.protocol: asyncio.Protocol | None = None
+
+    def write(self, data: bytes) -> None:
+        asyncio.get_running_loop().call_soon(self.peer._arrive, data)
+
+    def close(self) -> None:
+        if not self.closed:
+            super().close()
+            asyncio.get_running_loop().call_soon(self.peer._lose)
+
+    def abort(self) -> None:
+        self.aborted = True
+        self.close()
+
+    def _arrive(self, data: bytes) -> None:
+        if not self.closed:
+            self.protocol.data_received(data)
+
+    def _lose(self) -> None:
+        self.closed = True
+        self.protocol.connection_lost(None)
+
+
+def connect(server: HttpServer) -> ClientConn:
+    """Returns a new connection to a server of this process."""
+    conn, accepted = ClientConn(), server.make_conn()
+    near, far = PipeTransport(), PipeTransport()
+    near.peer, near.protocol = far, conn
+    far.peer, far.protocol = near, accepted
+    conn.connection_made(near)
+    accepted.connection_made(far)
+    return conn
+
+
+class MemoryPool:
+    """A pool that connects to servers of this process, by address."""
+
+    def __init__(self, servers: dict[str, HttpServer]) -> None:
+        self.servers = servers
+
+    async def acquire(self, address: str, *, fresh: bool = False) -> ClientConn:
+        server = self.servers.get(address)
+        if server is None:
+            raise TransportError(Code.NOT_CONNECTED, address, sent=False)
+        return connect(server)
+
+    def release(self, address: str, conn: ClientConn) -> None:
+        conn.close()
+
+    def close_idle(self, address: str) -> None:
+        """Keeps nothing."""
+
+
+class StandInServer:
+    """A backend server that states headers of the test's choice."""
+
+    def __init__(self) -> None:
+        self.notice: list[tuple[bytes, bytes]] = []
+        self.arrivals: list[float] = []
+
+    async def handle(self, call: Call, reply: Reply) -> None:
+        self.arrivals.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(SERVICE_S)
+        name = (CALL_HEADER, call.header(CALL_HEADER))
+        reply.send(200, [name, *self.notice], b'ok')
+
+    def most_in(self, span_s: float, since: float) -> int:
+        """Returns the most arrivals in any span that starts after a time."""
+        starts = [at for at in self.arrivals if at >= since]
+        return max(
+            (
+                sum(start <= at < start + span_s for at in starts)
+                for start in starts
+            ),
+            default=0,
+        )
+
+
+class FakeAgent:
+    """The parts of the agent that a call uses."""
+
+    class configuration:
+        version = 1
+
+    def __init__(self, address: str, seed: int) -> None:
+        self.host_table = table(
+            route('r', tries=2, timeout_ms=1200, target_ms=300)
+        )
+        self.placement = Placement('a', address, random.Random(seed))
+
+
+class NoMetrics:
+    def count(self, *counted: object) -> None:
+        """Counts nothing."""
+
+
+class MeshNode:
+    """One node; ``i-N`` is the server beside the N-th node."""
+
+    def __init__(self, mesh: 'HostMesh', number: int) -> None:
+        self.name = f'i-{number}'
+        self.address = f'10.0.0.{number + 1}:1'
+        clock = LoopClock()
+        settings = make_settings(
+            {
+                'role': 'node',
+                'listen': self.address,
+                'control': {'addresses': ['10.0.0.9:1']},
+            }
+        )
+        self.agent = FakeAgent(self.address, number)
+        self.monitor = BackendMonitor(lease_ms=10**9, drain_ms=2000)
+        self.gate = ServerGate()
+        self.inbound = InboundProxy(
+            self.monitor,
+            SlotQueue[Job](self.gate, clock),
+            self.gate,
+            MemoryPool(mesh.backends),
+            NativeCalls(),
+            clock,
+            settings.hosts.alive_ms,
+            LoopLag(SWEEP_S),
+        )
+        self.outbound = OutboundProxy(
+            settings,
+            self.agent,
+            self.inbound,
+            MemoryPool(mesh.gates),
+            NativeCalls(),
+            clock,
+            NoMetrics(),
+            LoopLag(SWEEP_S),
+            self.gate.shutdown_times,
+        )
+        limits = ServerLimits(65536, 65536, 4096)
+        mesh.gates[self.address] = HttpServer(self.inbound.handle, limits)
+
+    def announce(self) -> None:
+        """Records a heartbeat of the server beside the node."""
+        self.monitor.record_heartbeat(
+            beat(1, server=self.name, address=self.name, slots=SLOTS),
+            asyncio.get_running_loop().time(),
+        )
+        self.inbound.update_slots()
+
+
+class HostMesh:
+    """Nodes that know each other's servers, without control VMs."""
+
+    def __init__(self, size: int) -> None:
+        self.gates: dict[str, HttpServer] = {}
+        self.backends: dict[str, HttpServer] = {}
+        self.servers = [StandInServer() for _ in range(size)]
+        limits = ServerLimits(65536, 65536, 4096, pipelined=2)
+        for number, server in enumerate(self.servers):
+            self.backends[f'i-{number}'] = HttpServer(server.handle, limits)
+        self.nodes = [MeshNode(self, number) for number in range(size)]
+        self.outcomes: list[Outcome] = []
+        for node in self.nodes:
+            node.announce()
+            self.introduce(node)
+
+    def introduce(self, node: MeshNode, **changes: object) -> None:
+        """Tells all nodes of the endpoint of one of them."""
+        fields = {'address': node.address, 'slots': SLOTS, 'born_ms': 1000}
+        known = endpoint(node.name, **{**fields, **changes})
+        for other in self.nodes:
+            other.agent.placement.upsert(
+                known, asyncio.get_running_loop().time()
+            )
+
+    def restart(self, number: int) -> None:
+        """Replaces a node by one that has just started beside its server."""
+        placement = self.nodes[number].agent.placement
+        node = MeshNode(self, number)
+        self.nodes[number] = node
+        node.announce()
+        for known in placement.servers.values():
+            node.agent.placement.upsert(
+                known.endpoint, asyncio.get_running_loop().time()
+            )
+        self.introduce(node, incarnation=2)
+
+    async def load(self, per_s: float, seconds: float) -> None:
+        """Makes calls at all nodes in turn, and sweeps their queues."""
+        loop = asyncio.get_running_loop()
+        tasks = []
+        began = loop.time()
+        swept_at = began
+        for number in range(int(per_s * seconds)):
+            await asyncio.sleep(max(0.0, began + number / per_s - loop.time()))
+            tasks.append(asyncio.ensure_future(self.call(number)))
+            if loop.time() - swept_at >= SWEEP_S:
+                swept_at = loop.time()
+                for node in self.nodes:
+                    node.inbound.update_slots()
+        self.outcomes += await asyncio.gather(*tasks)
+
+    async def call(self, number: int) -> Outcome:
+        """Makes one call at a node."""
+        headers = [
+            (b'host', b'a.example'),
+            (CALL_HEADER, b'c%d' % number),
+            (REMAINING_HEADER, b'1200'),
+        ]
+        node = self.nodes[number % len(self.nodes)]
+        return await node.outbound._run(Call(b'GET', b'/r/x', headers))
+
+
+def play(scene: Coroutine[Any, Any, Any]) -> Any:
+    """Runs a scene on an event loop that does not wait."""
+    with asyncio.Runner(loop_factory=FastLoop) as runner:
+        return runner.run(scene)
