Admit calls to a backend server at the rate that it states

Cause: a node read only the heartbeats of the server beside it; what the server states in its responses was passed on and not read. The class is a server's own word on a channel that nobody listens to.

Evidence: the rate at both servers is the same before and after the limit; every call reached its server from the node beside it, so no call goes round the gate; from 8 to 12 s no call had a second try.

Mended where all calls to a server meet, in its gate: a token bucket at the stated rate, which holds for callers of all nodes whatever these know. Calls queue for it by rank; one that would start too late is refused at once, with the time at which the limit has room. A response that lifts or lowers the limit acts at once. Other nodes learn the limit with each response: they count the server as that much slower and space out tries that the limit refuses. A node that has just started takes the limit from the calls of nodes that know it, until its server has answered once; what a server stated outlives the endpoint of its node, which goes and comes with a restart.

Weighed: a share of the limit for each node (needs the number of nodes, and wastes the limit where callers are uneven); the limit in endpoints by way of control VMs (late, and bytes for every change).

--- a/bench/loadmodel/servers.py
+++ b/bench/loadmodel/servers.py
@@ -57,7 +57,7 @@
             self._waiting.pop(job, None)
             if not started.triggered or started.value is not None:
                 self.gate.finish(job, self._env.now)
-                retry_ms = self.gate.retry_after_ms()
+                retry_ms = self.gate.retry_after_ms(self._env.now)
                 return Shed(Code.DEADLINE_BEFORE_RUN, retry_ms)
         return None
 
--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from papayalock.core.gate import AdmissionResult, Queued, Shed, Started
+from papayalock.core.ratelimit import RateLimit
 from papayalock.core.shutdowntimes import ShutdownTimes
 from papayalock.messages import HopOrder, ServerLoad
 from papayalock.result import Code
@@ -144,6 +145,7 @@
     def __init__(self) -> None:
         """Starts without slots; the announcement of a server sets them."""
         self.slots = 0
+        self.rate_limit = RateLimit()
         self.shutdown_times = ShutdownTimes()
         self.service_times = ServiceTimes()
         self.failing = 0.0  # smoothed share of failed calls
@@ -180,9 +182,9 @@
             self._start(job, now)
             return Started()
         if not job.may_wait or len(self._waiting) >= MAX_QUEUED:
-            return Shed(Code.SHED, self.retry_after_ms())
+            return Shed(Code.SHED, self.retry_after_ms(now))
         if not self._should_queue(job, now, self.expected_wait_s(job)):
-            return Shed(Code.SHED, self.retry_after_ms())
+            return Shed(Code.SHED, self.retry_after_ms(now))
         self._waiting.append(job)
         return Queued()
 
@@ -220,6 +222,7 @@
         overdue = [
             job for job in self._waiting if self.latest_start(job) <= now
         ]
+        overdue += self._beyond_rate_limit(now, overdue)
         if len(self._waiting) - len(overdue) > self.slots:
             overdue += [
                 job for job in self._waiting if self._will_miss_target(job, now)
@@ -238,14 +241,37 @@
         run_s = min(self.service_times.expected(job.route), time_allowed / 2)
         return self.shutdown_times.start_deadline(job.deadline_at, run_s)
 
-    def retry_after_ms(self) -> int:
+    def retry_after_ms(self, now: float) -> int:
         """Returns the retry-after delay of a refused caller."""
         ahead = sum(
             self.service_times.expected(queued.route)
             for queued in self._waiting
         )
         wait = (ahead + self.service_times.overall) / max(1, self.slots)
-        return max(MIN_RETRY_AFTER_MS, int(MS_PER_S * wait))
+        rate_wait = self.rate_limit.wait_s(len(self._waiting), now)
+        return max(MIN_RETRY_AFTER_MS, int(MS_PER_S * max(wait, rate_wait)))
+
+    def next_start_s(self, now: float) -> float:
+        """Returns the seconds until the rate limit lets a queued call start.
+
+        Infinity means that the queue is empty or waits for slots only.
+        """
+        wait_s = self.rate_limit.wait_s(0, now) if self._waiting else 0.0
+        return wait_s or float('inf')
+
+    def _beyond_rate_limit(self, now: float, overdue: list[Job]) -> list[Job]:
+        """Returns the queued calls that the rate limit lets start too late."""
+        if not self.rate_limit.is_set:
+            return []
+        queued = [job for job in self._waiting if job not in overdue]
+        queued.sort(key=functools.partial(self._sort_key, now=now))
+        beyond: list[Job] = []
+        for position, job in enumerate(queued):
+            ahead = position - len(beyond)
+            start_at = now + self.rate_limit.wait_s(ahead, now)
+            if start_at > self.latest_start(job):
+                beyond.append(job)
+        return beyond
 
     def _will_miss_target(self, job: Job, now: float) -> bool:
         """Returns whether a least urgent call can only miss its objective.
@@ -262,6 +288,10 @@
         return [job for job in self._waiting if self._may_start(job, now)]
 
     def _may_start(self, job: Job, now: float) -> bool:
+        """Returns whether the slots and the rate limit let a call start."""
+        return self._has_slot(job, now) and self.rate_limit.allows(now)
+
+    def _has_slot(self, job: Job, now: float) -> bool:
         """Returns whether a slot is free and not reserved for urgent calls.
 
         A long call would delay many short, more urgent ones, which often come
@@ -288,19 +318,20 @@
         """
         now = job.arrived
         position = self._sort_key(job, now)
-        ahead = sum(
+        ahead = [
             self.service_times.expected(queued.route)
             for queued in self._waiting
             if self._sort_key(queued, now) < position
-        )
-        free = self._may_start(job, now)
+        ]
+        free = self._has_slot(job, now)
         next_slot = 0.0 if free else self.service_times.overall
         share = self.usage.share_left(job.priority)
-        return (
-            (ahead + next_slot)
+        slot_wait = (
+            (sum(ahead) + next_slot)
             / max(1, self.slots)
             / max(MIN_SLOT_SHARE, share)
         )
+        return max(slot_wait, self.rate_limit.wait_s(len(ahead), now))
 
     def _should_queue(self, job: Job, now: float, wait: float) -> bool:
         """Returns whether a call should queue for an expected wait.
@@ -334,4 +365,5 @@
     def _start(self, job: Job, now: float) -> None:
         job.started = now
         self.started += 1
+        self.rate_limit.take(now)
         self.running.add(job)
--- a/papayalock/core/directory.py
+++ b/papayalock/core/directory.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from papayalock.core.servernotices import ServerNotices
 from papayalock.messages import Endpoint, ServerLoad
 
 RETENTION_S = 6.0  # how long a server stays after a full list omitted it
@@ -16,6 +17,7 @@
         'endpoint',
         'failures',
         'in_flight',
+        'limit_refusals',
         'load',
         'load_at',
         'others_in_flight',
@@ -30,6 +32,7 @@
         self.load_at = now  # monotonic time of the newest load report
         self.others_in_flight = 0  # calls of other nodes, from that report
         self.failures = 0
+        self.limit_refusals = 0  # consecutive ones while the server is limited
         self.backoff_until = float('-inf')
         self.unlisted_at = float('inf')
 
@@ -40,6 +43,7 @@
     def __init__(self) -> None:
         """Starts without servers."""
         self.servers: dict[str, KnownServer] = {}
+        self.notices = ServerNotices()
         self._by_service: dict[str, dict[str, KnownServer]] = {}
         self._addresses: Counter[str] = Counter()
 
--- a/papayalock/core/gate.py
+++ b/papayalock/core/gate.py
@@ -134,7 +134,11 @@
         expected = ESTIMATE_MARGIN * self.service_times[job.priority]
         return job.deadline - min(expected, time_allowed / 2)
 
-    def retry_after_ms(self) -> int:
+    def next_start_s(self, now: float) -> float:
+        """Returns infinity: queued jobs start only when others finish."""
+        return float('inf')
+
+    def retry_after_ms(self, now: float) -> int:
         """Returns the retry-after delay of a refused caller."""
         pairs = zip(self._waiting, self.service_times, strict=True)
         ahead = sum(len(queue) * service_s for queue, service_s in pairs)
@@ -167,7 +171,7 @@
         queue = self._waiting[job.priority]
         in_time = now + self._expected_wait(job) < self.latest_start(job)
         if len(queue) >= self._queue or not in_time:
-            return Shed(Code.SHED, self.retry_after_ms())
+            return Shed(Code.SHED, self.retry_after_ms(now))
         queue.append(job)
         return Queued()
 
--- a/papayalock/core/heartbeats.py
+++ b/papayalock/core/heartbeats.py
@@ -29,6 +29,7 @@
     __slots__ = (
         '_close_after_s',
         '_lease_s',
+        '_has_notice',
         '_limit_stated_at',
         'announcement',
         'changed_sequence',
@@ -50,6 +51,7 @@
         self.changed_sequence = 0
         self.limit: float | None = None  # requests per second; None for none
         self._limit_stated_at = float('-inf')
+        self._has_notice = False  # whether this start has sent a response
         self._lease_s = lease_ms / MS_PER_S
         self._close_after_s = drain_ms / MS_PER_S * CLOSE_AFTER_DRAIN_SHARE
 
@@ -112,6 +114,7 @@
         current = self.announcement
         if current is None or not _is_same_start(serving, current):
             return False
+        self._has_notice = True
         before = self.limit
         if notice.limit is not None:
             self._limit_stated_at = now
@@ -120,6 +123,20 @@
             self.limit = None
         return self.limit != before
 
+    def adopt_limit(self, limit: float, now: float) -> bool:
+        """Adopts the limit that another node has heard from the server.
+
+        It holds until the first response; a node that has just started has
+        had none.
+
+        :returns: whether the limit changed
+        """
+        if self._has_notice or self.limit == limit:
+            return False
+        self.limit = limit
+        self._limit_stated_at = now
+        return True
+
     def expire_lease(self) -> None:
         """Ends the lease because another server has the address.
 
@@ -152,6 +169,7 @@
         self.draining_since = None
         self.limit = None
         self._limit_stated_at = float('-inf')
+        self._has_notice = False
 
     def _start_draining(self, now: float) -> HeartbeatEffect:
         if self.draining_since is not None:
--- a/papayalock/core/placement.py
+++ b/papayalock/core/placement.py
@@ -6,6 +6,7 @@
 """
 
 from papayalock.core.directory import Directory, KnownServer
+from papayalock.core.ratelimit import MIN_RATE
 from papayalock.messages import ServerLoad
 from papayalock.ports import Random
 from papayalock.result import Code
@@ -26,6 +27,8 @@
 MAX_DOUBLINGS = 4
 FAILURES_TO_BACK_OFF = 2
 REFUSAL_BACKOFF_S = 0.3  # backoff after a refusal; never doubled
+MAX_LIMIT_BACKOFF_S = 2.0  # after refusals of a server with a rate limit
+MIN_SLOTS = 0.05  # of a server with a very low rate limit, in cost estimates
 NONE_TRIED: frozenset[str] = frozenset()
 UNRESPONSIVE = frozenset((Code.NOT_CONNECTED, Code.UNKNOWN_TIMEOUT))
 
@@ -130,9 +133,12 @@
         server.in_flight -= 1
         if code == Code.DONE:
             server.failures = 0
+            server.limit_refusals = 0
             server.backoff_until = float('-inf')
         elif code in {Code.NO_SERVER, Code.DRAINING, Code.OTHER_SERVER}:
             server.backoff_until = now + REFUSAL_BACKOFF_S
+        elif code == Code.SHED:
+            self._record_shed(server, now)
         elif code in UNRESPONSIVE or code.may_have_run:
             self._record_failure(server, code, now)
 
@@ -178,6 +184,20 @@
             doubled = 2 ** min(doublings, MAX_DOUBLINGS)
             server.backoff_until = now + BASE_BACKOFF_S * doubled
 
+    def _record_shed(self, server: KnownServer, now: float) -> None:
+        """Backs off from a server whose rate limit has let no call in.
+
+        Many nodes share the limit, so consecutive refusals double the backoff.
+        """
+        limit = self.notices.find(server.endpoint).limit
+        if limit is None:
+            return
+        doubled = 2 ** min(server.limit_refusals, MAX_DOUBLINGS)
+        server.limit_refusals += 1
+        server.backoff_until = now + min(
+            MAX_LIMIT_BACKOFF_S, doubled / max(limit, MIN_RATE)
+        )
+
     def _typical_service_s(self, servers: list[KnownServer]) -> float:
         reported = sorted(
             server.load.pace_ms for server in servers if server.load
@@ -195,12 +215,19 @@
         if server.load is not None:
             service_s = server.load.pace_ms / MS_PER_S
             failing = server.load.failing
-        slots = _slots(server)
+        slots = self._usable_slots(server, service_s)
         jobs = _estimated_jobs(server, now)
         wait = max(0.0, jobs + 1 - slots) / slots * service_s
         run = service_s * (1 + BUSY_WEIGHT * min(1.0, jobs / slots))
         return (wait + run) * (1 + FAILING_WEIGHT * failing)
 
+    def _usable_slots(self, server: KnownServer, service_s: float) -> float:
+        """Returns the slots that a server can keep busy at its rate limit."""
+        limit = self.notices.find(server.endpoint).limit
+        if limit is None:
+            return _slots(server)
+        return max(MIN_SLOTS, min(_slots(server), limit * service_s))
+
     def _network_cost(self, server: KnownServer, route: str) -> float:
         """Returns the cost of the network path to a server, in seconds."""
         if server.endpoint.address == self._own:
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -8,10 +8,16 @@
 
 from papayalock.core.admission import Job, ServerGate, job_from_order
 from papayalock.core.heartbeats import BackendMonitor
+from papayalock.core.servernotices import NOTHING
 from papayalock.core.shutdowntimes import RETRY_AFTER_MS
 from papayalock.dialect import BackendMetadata, CallDialect
-from papayalock.httpclient import Request, Response, TransportError
-from papayalock.messages import Announcement, HopOrder
+from papayalock.httpclient import (
+    Headers,
+    Request,
+    Response,
+    TransportError,
+)
+from papayalock.messages import Announcement, HopOrder, ServerNotice
 from papayalock.node.http import OUTCOME_HEADER, Call, Reply
 from papayalock.node.keepalive import KeepaliveSender
 from papayalock.node.lag import LoopLag
@@ -33,6 +39,7 @@
 ORDER_HEADER = b'papayalock-order'
 ARRIVED_HEADER = b'papayalock-arrived'
 CALLEE_FAILED_HEADER = b'papayalock-callee-failed'
+NOTICE_HEADER = b'papayalock-notice'
 MAX_RESPONSE_BYTES = 16_777_216  # larger responses are not forwarded
 SERVICE_UNAVAILABLE = 503
 # Responses with these codes may come from another server or another call.
@@ -48,10 +55,12 @@
         OUTCOME_HEADER,
         ARRIVED_HEADER,
         CALLEE_FAILED_HEADER,
+        NOTICE_HEADER,
     )
 )
 NOT_FORWARDED = HOP_BY_HOP_HEADERS | INTERNAL_HEADERS
 _ORDER = msgspec.json.Decoder(HopOrder)
+_NOTICE = msgspec.json.Decoder(ServerNotice)
 
 
 class InboundProxy:
@@ -82,12 +91,19 @@
         self._lag = lag
         self.callee_failures = 0
 
+    @property
+    def notice(self) -> ServerNotice:
+        """What the local server states about itself."""
+        return ServerNotice(limit=self._monitor.limit)
+
     def update_slots(self) -> None:
-        """Applies the slots that the server announced last.
+        """Applies the slots and the rate limit that the server stated last.
 
         Without a serving server all queued calls are rejected.
         """
-        serving = self._monitor.serving(self._clock.monotonic())
+        now = self._clock.monotonic()
+        serving = self._monitor.serving(now)
+        self._gate.rate_limit.change(self._monitor.limit, now)
         self._gate.slots = serving.slots if serving else 0
         if serving is None:
             self._queue.reject_waiting(Code.NO_SERVER)
@@ -101,12 +117,13 @@
         except msgspec.MsgspecError as exc:
             reply.refuse(Code.BAD_REQUEST, f'no order: {exc}')
             return
+        self._adopt_notice(order, call.header(NOTICE_HEADER))
         with KeepaliveSender(reply, self._alive_ms):
             await self._process_disconnects()
             outcome = await self.run(order, call)
-        load = (LOAD_HEADER, msgspec.json.encode(self._gate.load()))
+        state = self._state_headers()
         if isinstance(outcome, ServerResponse):
-            headers = [*outcome.headers, load, (OUTCOME_HEADER, b'0 DONE')]
+            headers = [*outcome.headers, *state, (OUTCOME_HEADER, b'0 DONE')]
             headers.append(
                 (CALLEE_FAILED_HEADER, b'%d' % outcome.callee_failed)
             )
@@ -114,13 +131,45 @@
             return
         code = outcome.code
         headers = [
-            load,
+            *state,
             (OUTCOME_HEADER, b'%d %s' % (code.value, code.name.encode())),
             (ARRIVED_HEADER, b'%d' % outcome.arrived),
             (b'retry-after', b'%d' % outcome.retry_after_ms),
         ]
         reply.send(SERVICE_UNAVAILABLE, headers, outcome.reason.encode())
 
+    def _state_headers(self) -> Headers:
+        """Returns the headers that tell other nodes the server's state."""
+        headers = [(LOAD_HEADER, msgspec.json.encode(self._gate.load()))]
+        if self.notice != NOTHING:
+            headers.append((NOTICE_HEADER, msgspec.json.encode(self.notice)))
+        return headers
+
+    def _adopt_notice(self, order: HopOrder, header: bytes) -> None:
+        """Adopts what the calling node has heard from the local server."""
+        current = self._monitor.announcement
+        if not header or current is None or current.server != order.server:
+            return
+        try:
+            notice = _NOTICE.decode(header)
+        except msgspec.MsgspecError as exc:
+            log.warning(
+                'notice of another node is not valid',
+                extra={'code': Code.BAD_MESSAGE, 'reason': str(exc)},
+            )
+            return
+        if notice.limit is not None and self._monitor.adopt_limit(
+            notice.limit, self._clock.monotonic()
+        ):
+            self._apply_limit(current.server)
+
+    def _apply_limit(self, server: str) -> None:
+        log.info(
+            'backend server changed its limit',
+            extra={'server': server, 'limit': self._monitor.limit},
+        )
+        self.update_slots()
+
     async def _process_disconnects(self) -> None:
         """Lets the loop read pending disconnects after it stalled.
 
@@ -250,10 +299,7 @@
             return
         now = self._clock.monotonic()
         if self._monitor.record_notice(serving, notice, sent_at, now):
-            log.info(
-                'backend server changed its limit',
-                extra={'server': serving.server, 'limit': self._monitor.limit},
-            )
+            self._apply_limit(serving.server)
 
     def _outcome(self, response: Response, body: bytes) -> Outcome:
         fault = self._dialect.classify_response(
--- a/papayalock/node/slotqueue.py
+++ b/papayalock/node/slotqueue.py
@@ -10,6 +10,9 @@
 from papayalock.result import Code
 
 
+MIN_TIMER_S = 0.001
+
+
 class HasArrivalTime(Protocol):
     """A call with its time of arrival, in monotonic seconds."""
 
@@ -55,7 +58,14 @@
         """Returns the time from which on a call is not started any more."""
         ...
 
-    def retry_after_ms(self) -> int:
+    def next_start_s(self, now: float) -> float:
+        """Returns the seconds until a queued call may start by itself.
+
+        Infinity means that it has to wait for a slot.
+        """
+        ...
+
+    def retry_after_ms(self, now: float) -> int:
         """Returns the retry-after delay for a refused call."""
         ...
 
@@ -90,6 +100,7 @@
         self._admission = admission
         self._clock = clock
         self._waiting: dict[AnyJob, asyncio.Future[None]] = {}
+        self._start_timer: asyncio.TimerHandle | None = None
 
     def reject_waiting(self, code: Code) -> None:
         """Refuses all waiting calls with a code."""
@@ -120,6 +131,7 @@
         loop = asyncio.get_running_loop()
         fut = loop.create_future()
         self._waiting[job] = fut
+        self._schedule_start()
         wait_s = self._admission.latest_start(job) - self._clock.monotonic()
         timer = loop.call_later(max(0.0, wait_s), self.expire, job)
         try:
@@ -145,11 +157,23 @@
             fut = self._waiting.get(job)
             if fut is not None and not fut.done():
                 fut.set_result(None)
+        self._schedule_start()
+
+    def _schedule_start(self) -> None:
+        """Has queued calls started once a rate limit allows the next one."""
+        if self._start_timer is not None:
+            self._start_timer.cancel()
+            self._start_timer = None
+        wait_s = self._admission.next_start_s(self._clock.monotonic())
+        if wait_s < float('inf'):
+            self._start_timer = asyncio.get_running_loop().call_later(
+                max(MIN_TIMER_S, wait_s), self.start_admitted
+            )
 
     def _refuse(self, job: AnyJob) -> None:
         fut = self._waiting.pop(job, None)
         if fut is not None and not fut.done():
-            retry_ms = self._admission.retry_after_ms()
+            retry_ms = self._admission.retry_after_ms(self._clock.monotonic())
             fut.set_exception(
                 AdmissionRefused(Code.DEADLINE_BEFORE_RUN, retry_ms)
             )
--- a/papayalock/node/tryrunner.py
+++ b/papayalock/node/tryrunner.py
@@ -7,13 +7,14 @@
 
 from papayalock.core.directory import KnownServer
 from papayalock.core.placement import Placement
+from papayalock.core.servernotices import NOTHING
 from papayalock.httpclient import (
     OnUnresponsive,
     Request,
     Response,
     TransportError,
 )
-from papayalock.messages import HopOrder, ServerLoad
+from papayalock.messages import HopOrder, ServerLoad, ServerNotice
 from papayalock.node.accesslog import RoutedCall, TryRecord
 from papayalock.node.http import OUTCOME_HEADER
 from papayalock.node.inbound import (
@@ -21,6 +22,7 @@
     CALLEE_FAILED_HEADER,
     MAX_RESPONSE_BYTES,
     NOT_FORWARDED,
+    NOTICE_HEADER,
     ORDER_HEADER,
     InboundProxy,
 )
@@ -42,6 +44,7 @@
 # Taken off the deadline of a hop, so that its response can return in time.
 RESPONSE_MARGIN_S = 0.002
 _LOAD = msgspec.json.Decoder(ServerLoad)
+_NOTICE = msgspec.json.Decoder(ServerNotice)
 
 
 class TryRunner:
@@ -85,6 +88,7 @@
             if server.endpoint.address == self._own_address:
                 order = self._hop_order(routed, server, may_wait=may_wait)
                 outcome = await self._inbound.run(order, routed.call)
+                self._record_notice(server, outcome, self._inbound.notice)
             else:
                 outcome = await self._forward(
                     routed, server, on_unresponsive, may_wait
@@ -191,12 +195,22 @@
             pair for pair in call.headers if pair[0] not in NOT_FORWARDED
         ]
         headers.append((ORDER_HEADER, msgspec.json.encode(order)))
+        notice = self._placement.notices.find(server.endpoint)
+        if notice != NOTHING:
+            headers.append((NOTICE_HEADER, msgspec.json.encode(notice)))
         return Request(call.method, call.target, headers, call.body)
 
     def _read_outcome(
         self, server: KnownServer, response: Response, body: bytes
     ) -> Outcome:
         self._record_load(server, response.header(LOAD_HEADER))
+        outcome = self._decode_outcome(response, body)
+        notice = self._decode_notice(server, response.header(NOTICE_HEADER))
+        if notice is not None:
+            self._record_notice(server, outcome, notice)
+        return outcome
+
+    def _decode_outcome(self, response: Response, body: bytes) -> Outcome:
         code = read_code(response.header(OUTCOME_HEADER))
         if code is None:
             return NoResponse(
@@ -218,17 +232,45 @@
             arrived=response.header(ARRIVED_HEADER) == b'1',
         )
 
+    def _record_notice(
+        self, server: KnownServer, outcome: Outcome, notice: ServerNotice
+    ) -> None:
+        """Records what a server states, as its node says.
+
+        A node that has had no response of the server may not know it yet.
+        """
+        arrived = isinstance(outcome, ServerResponse) or outcome.arrived
+        if arrived or notice != NOTHING:
+            self._placement.notices.record(server.endpoint, notice)
+
+    def _decode_notice(
+        self, server: KnownServer, header: bytes
+    ) -> ServerNotice | None:
+        if not header:
+            return NOTHING
+        try:
+            return _NOTICE.decode(header)
+        except msgspec.MsgspecError as exc:
+            self._log_bad_header(server, 'notice', exc)
+        return None
+
+    def _log_bad_header(
+        self, server: KnownServer, name: str, exc: Exception
+    ) -> None:
+        log.warning(
+            'header of another node is not valid',
+            extra={
+                'server': server.endpoint.server,
+                'header': name,
+                'code': Code.BAD_MESSAGE,
+                'reason': str(exc),
+            },
+        )
+
     def _record_load(self, server: KnownServer, header: bytes) -> None:
         try:
             load = _LOAD.decode(header)
         except msgspec.MsgspecError as exc:
-            log.warning(
-                'load header of another node is not valid',
-                extra={
-                    'server': server.endpoint.server,
-                    'code': Code.BAD_MESSAGE,
-                    'reason': str(exc),
-                },
-            )
+            self._log_bad_header(server, 'load', exc)
             return
         self._placement.record_load(server, load, self._clock.monotonic())
--- a/test/hostmesh.py
+++ b/test/hostmesh.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from typing import Any
 
 from papayalock.config import make_settings
@@ -219,15 +219,22 @@
             )
         self.introduce(node, incarnation=2)
 
-    async def load(self, per_s: float, seconds: float) -> None:
-        """Makes calls at all nodes in turn, and sweeps their queues."""
+    async def load(
+        self, per_s: float, seconds: float, at: Sequence[int] = ()
+    ) -> None:
+        """Makes calls at some nodes in turn, and sweeps all queues.
+
+        :param at: numbers of the nodes; all of them by default
+        """
+        callers = at or range(len(self.nodes))
         loop = asyncio.get_running_loop()
         tasks = []
         began = loop.time()
         swept_at = began
         for number in range(int(per_s * seconds)):
             await asyncio.sleep(max(0.0, began + number / per_s - loop.time()))
-            tasks.append(asyncio.ensure_future(self.call(number)))
+            caller = callers[number % len(callers)]
+            tasks.append(asyncio.ensure_future(self.call(caller)))
             if loop.time() - swept_at >= SWEEP_S:
                 swept_at = loop.time()
                 for node in self.nodes:
@@ -238,10 +245,10 @@
         """Makes one call at a node."""
         headers = [
             (b'host', b'a.example'),
-            (CALL_HEADER, b'c%d' % number),
+            (CALL_HEADER, b'c'),
             (REMAINING_HEADER, b'1200'),
         ]
-        node = self.nodes[number % len(self.nodes)]
+        node = self.nodes[number]
         return await node.outbound._run(Call(b'GET', b'/r/x', headers))
 
 
