Stop sending calls to a server that states that it leaves

One whose announcement is lost or late, or that cannot reach a node, kept getting calls for as long as it ran, also from nodes whose callers had read that it leaves.

Cause: Server-Leaving was not read.

Every response and refusal of a node says whether its server leaves; the calling node passes the server over from then on, in reach of a control VM or not, until the server starts anew. That also holds when the node beside the server restarts and has forgotten it, since endpoints and statements are kept apart.

Ruled out: responses of an earlier start of the server, or of another server at its address, say nothing of the present one (tests).

--- a/papayalock/core/directory.py
+++ b/papayalock/core/directory.py
@@ -108,6 +108,7 @@
             server
             for server in self._by_service.get(service, {}).values()
             if server.endpoint.state == 'ready'
+            and not self.notices.find(server.endpoint).leaving
         ]
 
     def _add(self, server: KnownServer) -> None:
--- a/papayalock/core/heartbeats.py
+++ b/papayalock/core/heartbeats.py
@@ -111,8 +111,7 @@
         :param sent_at: time at which the call of the response was sent
         :returns: whether the limit changed
         """
-        current = self.announcement
-        if current is None or not _is_same_start(serving, current):
+        if not self._is_current(serving):
             return False
         self._has_notice = True
         before = self.limit
@@ -123,6 +122,17 @@
             self.limit = None
         return self.limit != before
 
+    def record_leaving(
+        self, serving: Announcement, now: float
+    ) -> HeartbeatEffect:
+        """Records that the server stated in a response that it leaves.
+
+        :param serving: the start of the server that sent the response
+        """
+        if not self._is_current(serving):
+            return HeartbeatEffect.STALE
+        return self._start_draining(now)
+
     def adopt_limit(self, limit: float, now: float) -> bool:
         """Adopts the limit that another node has heard from the server.
 
@@ -164,6 +174,11 @@
             return None
         return self.announcement
 
+    def _is_current(self, serving: Announcement) -> bool:
+        """Whether an announcement is of the start that is known last."""
+        current = self.announcement
+        return current is not None and _is_same_start(serving, current)
+
     def _forget_start(self) -> None:
         """Clears the state that ended with the previous start of the server."""
         self.draining_since = None
--- a/papayalock/core/servernotices.py
+++ b/papayalock/core/servernotices.py
@@ -28,7 +28,12 @@
         return notice if is_same_start else NOTHING
 
     def record(self, endpoint: Endpoint, notice: ServerNotice) -> None:
-        """Records what a server stated; the oldest notices are dropped."""
+        """Records what a server stated; the oldest notices are dropped.
+
+        Leaving is final for one start of a server.
+        """
+        leaving = notice.leaving or self.find(endpoint).leaving
+        notice = ServerNotice(limit=notice.limit, leaving=leaving)
         self._notices.pop(endpoint.server, None)
         if notice == NOTHING:
             return
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -137,6 +137,7 @@
             self.agent, dialects.calls, self.backend_pool, clock, hosts
         )
         self.agent.on_changed.append(self._apply_changes)
+        self.inbound.on_leaving.append(self.agent.backend_changed)
 
     @property
     def ready(self) -> bool:
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import replace
 
 import msgspec
 
 from papayalock.core.admission import Job, ServerGate, job_from_order
-from papayalock.core.heartbeats import BackendMonitor
+from papayalock.core.heartbeats import BackendMonitor, HeartbeatEffect
 from papayalock.core.servernotices import NOTHING
 from papayalock.core.shutdowntimes import RETRY_AFTER_MS
 from papayalock.dialect import BackendMetadata, CallDialect
@@ -90,11 +91,14 @@
         self._alive_ms = alive_ms
         self._lag = lag
         self.callee_failures = 0
+        self.on_leaving: list[Callable[[], None]] = []
 
     @property
     def notice(self) -> ServerNotice:
         """What the local server states about itself."""
-        return ServerNotice(limit=self._monitor.limit)
+        return ServerNotice(
+            limit=self._monitor.limit, leaving=self._monitor.is_draining()
+        )
 
     def update_slots(self) -> None:
         """Applies the slots and the rate limit that the server stated last.
@@ -300,6 +304,15 @@
         now = self._clock.monotonic()
         if self._monitor.record_notice(serving, notice, sent_at, now):
             self._apply_limit(serving.server)
+        if notice.leaving:
+            self._record_leaving(serving, now)
+
+    def _record_leaving(self, serving: Announcement, now: float) -> None:
+        effect = self._monitor.record_leaving(serving, now)
+        if effect is HeartbeatEffect.CHANGED:
+            log.info('backend server leaves', extra={'server': serving.server})
+            for notify in self.on_leaving:
+                notify()
 
     def _outcome(self, response: Response, body: bytes) -> Outcome:
         fault = self._dialect.classify_response(
