Keep a departure when the first heartbeat of a found server comes late

What callers saw: after a restart of the node beside it, a server that had left was in use again. A node that has just started finds its server by a health check, which names no start time. The server then leaves; a heartbeat that it had sent before arrives late, and its start time differs from the unknown one, so it counted as a new start: drain and departure were forgotten, and calls went to a server that was about to end.

A start time that is not known now matches any of the same server. Another server at the address is a new start as before. Left open: a found server that left and starts again under its name before its first heartbeat stays out until its next start.

--- a/papayalock/core/heartbeats.py
+++ b/papayalock/core/heartbeats.py
@@ -62,7 +62,7 @@
         current = self.announcement
         if current is not None and _order_key(heartbeat) <= _order_key(current):
             return HeartbeatEffect.STALE
-        if current is None or _start_id(current) != _start_id(heartbeat):
+        if not self._is_current(heartbeat):
             self._forget_start()
         had_expired = self.lease_expired(now)
         self.announcement = heartbeat
@@ -174,10 +174,10 @@
             return None
         return self.announcement
 
-    def _is_current(self, serving: Announcement) -> bool:
+    def _is_current(self, announcement: Announcement) -> bool:
         """Whether an announcement is of the start that is known last."""
         current = self.announcement
-        return current is not None and _is_same_start(serving, current)
+        return current is not None and _is_same_start(announcement, current)
 
     def _forget_start(self) -> None:
         """Clears the state that ended with the previous start of the server."""
@@ -199,10 +199,6 @@
     return announcement.born_ms, announcement.sequence
 
 
-def _start_id(announcement: Announcement) -> tuple[str, int]:
-    return announcement.server, announcement.born_ms
-
-
 def _is_same_start(one: Announcement, other: Announcement) -> bool:
     """Whether two announcements are of one start of a server.
 
--- a/test/test_heartbeats.py
+++ b/test/test_heartbeats.py
@@ -106,6 +106,34 @@
         assert monitor.serving(1) is not None
 
 
+class TestDiscovery:
+    """A server found by a health check, whose start time is not known."""
+
+    def found(self) -> BackendMonitor:
+        monitor = make_monitor()
+        monitor.record_discovery(beat(0, born=0), 0)
+        return monitor
+
+    def test_a_late_heartbeat_does_not_undo_a_departure(self):
+        monitor = self.found()
+        monitor.record_departure('i-1', 1)
+        monitor.record_heartbeat(beat(7), 1.5)
+        assert monitor.is_draining()
+        assert monitor.serving(2.5) is None
+
+    def test_the_first_heartbeat_keeps_the_limit(self):
+        monitor = self.found()
+        monitor.record_notice(beat(0, born=0), ServerNotice(limit=2), 0, 1)
+        monitor.record_heartbeat(beat(7), 1.5)
+        assert monitor.limit == 2
+
+    def test_another_server_at_the_address_is_a_new_start(self):
+        monitor = self.found()
+        monitor.record_departure('i-1', 1)
+        monitor.record_heartbeat(beat(1, server='i-2'), 1.5)
+        assert not monitor.is_draining()
+
+
 class TestNotice:
     def play(self, *notices: tuple[float | None, float]) -> BackendMonitor:
         """Records limits with the times at which their calls were sent."""
