Read on after a large response that was taken in one piece

What callers saw: 504 UNKNOWN_TIMEOUT at their deadline, on the call after a response of more than 64 KB (register path; five nodes, 200 KB responses).

Cause: a connection stops reading above 64 KB of unread body and reads on as pieces are taken. A response that had arrived whole is taken by pop_complete_body, which did not resume; the connection went back to the pool and read no byte of the next call.

Ruled out: the pieces' own path resumes (test_a_slow_consumer_pauses_reading).

--- a/papayalock/httpclient.py
+++ b/papayalock/httpclient.py
@@ -213,13 +213,7 @@
             await self._wait()
         piece = self._pieces.popleft()
         self._buffered -= len(piece)
-        if (
-            self._paused
-            and self._buffered < PAUSE_BYTES // 2
-            and self.transport is not None
-        ):
-            self._paused = False
-            self.transport.resume_reading()
+        self._resume_reading()
         return piece
 
     def pop_complete_body(self) -> bytes | None:
@@ -232,6 +226,7 @@
         body = b''.join(self._pieces)
         self._pieces.clear()
         self._buffered = 0
+        self._resume_reading()
         self._end_call()
         return body
 
@@ -242,6 +237,15 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _resume_reading(self) -> None:
+        if (
+            self._paused
+            and self._buffered < PAUSE_BYTES // 2
+            and self.transport is not None
+        ):
+            self._paused = False
+            self.transport.resume_reading()
+
     async def _send_expect_continue(self, req: Request) -> None:
         head_req = Request(
             req.method,
