Count the time of a suspended VM in drains, leases and deadlines

Cause: SystemClock.monotonic was CLOCK_MONOTONIC, which stands still while a VM is suspended. CLOCK_BOOTTIME counts it, and never goes back either.

Timers of the event loop still run late by the suspension; each decision that they lead to reads the clock again.

--- a/papayalock/clock.py
+++ b/papayalock/clock.py
@@ -9,8 +9,12 @@
     """Implements ``ports.Clock`` with the clocks of the operating system."""
 
     def monotonic(self) -> float:
-        """Returns seconds since an arbitrary start; never goes backwards."""
-        return time.monotonic()
+        """Returns seconds since an arbitrary start; never goes backwards.
+
+        Counts the time during which the VM was suspended, so that a lease or
+        a deadline which ended meanwhile has ended.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall_ms(self) -> int:
         """Returns milliseconds since the epoch."""
