Do not reuse a connection after a response that names no call

What callers would see: 503 or a second run of a call that its server had accepted. A server may send a second copy of a response late. Copies are told by the echoed call id, but a rejection may lack it and is then taken for any call: the late copy of one on a connection in use again answered the next call, as not run, while its server ran it.

Evidence: TestSecondCopy of test_inbound fails before. Ruled out for other responses: those with another id are skipped, and those without one are rejections or not accepted at all (test_foreign, test_platform); bytes on an idle connection close it.

Such a connection is closed now, and a late copy with it. Responses that echo the id, nearly all, keep their connections.

--- a/papayalock/dialect.py
+++ b/papayalock/dialect.py
@@ -77,6 +77,14 @@
         """
         ...
 
+    def names_call(self, headers: Headers) -> bool:
+        """Returns whether a response names the call that it belongs to.
+
+        A late second copy of one that does not cannot be told from the
+        response to the next call on the connection.
+        """
+        ...
+
     def classify_response(self, status: int, headers: Headers) -> Code:
         """Returns DONE, or why a response must not be passed to the caller.
 
--- a/papayalock/native.py
+++ b/papayalock/native.py
@@ -90,6 +90,10 @@
         echoed = first_header(headers, CALL_HEADER)
         return not echoed or echoed == call.encode()
 
+    def names_call(self, headers: Headers) -> bool:
+        """Returns whether the call id is echoed."""
+        return bool(first_header(headers, CALL_HEADER))
+
     def classify_response(self, status: int, headers: Headers) -> Code:
         """Reads the outcome header, which a server sets on a shed call."""
         outcome = first_header(headers, OUTCOME_HEADER).split(b' ')[0]
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -261,7 +261,7 @@
     ) -> Outcome:
         conn = await self._pool.acquire(serving.address)
         sent_at = self._clock.monotonic()
-        complete = False
+        reusable = False
         try:
             response = await conn.call(
                 req,
@@ -272,9 +272,9 @@
             )
             self._record_notice(serving, response, sent_at)
             body = await response.read_all(MAX_RESPONSE_BYTES)
-            complete = True
+            reusable = self._dialect.names_call(response.headers)
         finally:
-            if complete:
+            if reusable:
                 self._pool.release(serving.address, conn)
             else:
                 conn.close()
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -61,6 +61,8 @@
         if self.refuse:
             raise TransportError(Code.NOT_CONNECTED, address, sent=False)
         self.fresh = fresh
+        if self.conn.closed and self.conn.script:
+            self.conn = ScriptedConn(self.conn.script, used=False)
         if fresh:
             self.conn.used = False
         return self.conn
--- a/test/test_inbound.py
+++ b/test/test_inbound.py
@@ -84,6 +84,24 @@
     )
 
 
+class TestSecondCopy:
+    """A server may send a second copy of a response late."""
+
+    def stays_open(self, response: bytes) -> bool:
+        """Returns whether the connection is used again after a response."""
+        _, side = run(response)
+        return not side.pool.conn.closed
+
+    def test_a_connection_is_reused_after_a_response_that_names_its_call(self):
+        assert self.stays_open(OK)
+        assert self.stays_open(FAILED)
+
+    def test_a_copy_of_a_rejection_without_an_id_cannot_answer_the_next_call(
+        self,
+    ):
+        assert not self.stays_open(SHED)
+
+
 class TestNotices:
     def test_any_response_of_the_server_may_state_a_limit(self):
         assert run(limited(OK, b'7.5'))[1].monitor.limit == 7.5
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -230,6 +230,10 @@
         compressed = [stamp, (b'content-encoding', b'gzip')]
         assert classify(200, compressed) == Code.FOREIGN_ANSWER
 
+    def test_a_response_names_its_call_by_the_echoed_id(self):
+        assert self.CALLS.names_call([(b'x-request-id', b'1')])
+        assert not self.CALLS.names_call([(b'x-not-executed', b'1')])
+
     def test_only_a_rejection_may_lack_the_call_id(self):
         matches = self.CALLS.matches_call
         assert matches([(b'x-request-id', b'1')], '1')
