Answer the calls that a stopping node reads just before its end

What callers would see: a closed connection without an answer, during a planned stop under load. Once idle, a node reports its departure for up to 0.2 s and still accepts calls, which it refuses as not run; it then closed its servers without waiting, so that a call read in the same pass of the event loop was cut before its refusal was written.

Evidence: test_a_call_read_just_before_the_end_is_answered, for callers and other nodes, fails before. The servers now have 0.1 s for such replies, within the 0.4 s that the schedule keeps for the exit (test_the_node_ends_within_its_grace_time).

--- a/papayalock/node/listener.py
+++ b/papayalock/node/listener.py
@@ -89,10 +89,10 @@
         loop = asyncio.get_running_loop()
         stop_at = loop.time() + timeout
         self._close_idle()
-        while self.conns and loop.time() < stop_at:
+        while self.busy and loop.time() < stop_at:
             await asyncio.sleep(STOP_POLL_S)
             self._close_idle()
-        clean = not self.conns
+        clean = not self.busy
         for conn in list(self.conns):
             if conn.busy:
                 conn.abort()
--- a/papayalock/node/shutdown.py
+++ b/papayalock/node/shutdown.py
@@ -18,6 +18,7 @@
 
 DEPARTURE_REPORT_TIMEOUT_S = 0.2
 IDLE_CHECK_INTERVAL_S = 0.01
+LAST_REPLIES_S = 0.1  # for the replies to calls that came just before the end
 
 
 def install_stop_signals() -> asyncio.Event:
@@ -77,8 +78,10 @@
         await self._stop_tasks(tasks)
         for listener in listeners:
             listener.close()
-        await self._caller_server.stop(0)
-        await self._hop_server.stop(0)
+        await asyncio.gather(
+            self._caller_server.stop(LAST_REPLIES_S),
+            self._hop_server.stop(LAST_REPLIES_S),
+        )
         log.info('node stopped', extra={'clean': clean})
         return clean
 
--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -1,6 +1,9 @@
 """The graceful stop of a node: its reports, waits and closed connections."""
 
 import asyncio
+from collections.abc import Callable
+
+import pytest
 
 from papayalock.config import make_settings
 from papayalock.core.shutdowntimes import ShutdownTimes
@@ -25,6 +28,7 @@
         self.wakes = 0
         self.departed = False
         self.departure_s = 0.0
+        self.on_departure: Callable[[], None] = lambda: None
 
     def wake(self) -> None:
         self.wakes += 1
@@ -32,6 +36,7 @@
     async def report_departure(self) -> None:
         await asyncio.sleep(self.departure_s)
         self.departed = True
+        self.on_departure()
 
 
 class FakeOutbound:
@@ -175,6 +180,19 @@
         assert aborted
         assert took < GRACE_S
 
+    @pytest.mark.parametrize('name', ['caller', 'hop'])
+    def test_a_call_read_just_before_the_end_is_answered(self, name):
+        async def scenario():
+            node = Node()
+            side = getattr(node, name)
+            node.agent.on_departure = lambda: node._call(side, 0.0)
+            await node.stop()
+            return side.transport
+
+        transport = run_on_fast_loop(scenario)
+        assert transport.written.endswith(b'ok')
+        assert not transport.aborted
+
     def test_background_tasks_are_cancelled(self):
         async def scenario():
             node = Node()
