Read what a server states in one module, health checks included

The parts that read, adopt and pass on notices move from inbound and tryrunner to node/backendnotices, which inbound, finder and tryrunner share. Placement.has_untried uses the filter of _untried instead of its own copy.

--- a/papayalock/core/placement.py
+++ b/papayalock/core/placement.py
@@ -89,10 +89,7 @@
 
     def has_untried(self, service: str, avoid: frozenset[str]) -> bool:
         """Returns whether a service has a ready server not in ``avoid``."""
-        return any(
-            server.endpoint.server not in avoid
-            for server in self.ready(service)
-        )
+        return bool(self._untried(service, avoid))
 
     def _untried(
         self, service: str, avoid: frozenset[str]
--- a/papayalock/core/servernotices.py
+++ b/papayalock/core/servernotices.py
@@ -21,7 +21,10 @@
 
     def find(self, endpoint: Endpoint) -> ServerNotice:
         """Returns what a server stated since its start."""
-        born_ms, notice = self._notices.get(endpoint.server, (0, NOTHING))
+        known = self._notices.get(endpoint.server)
+        if known is None:
+            return NOTHING
+        born_ms, notice = known
         is_same_start = born_ms == endpoint.born_ms or not (
             born_ms and endpoint.born_ms
         )
--- /dev/null
+++ b/papayalock/node/backendnotices.py
@@ -0,0 +1,128 @@
+"""What the backend server beside a node states about itself.
+
+It states this in its responses; a node that has just started also adopts what
+other nodes have heard.
+"""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from papayalock.core.heartbeats import BackendMonitor, HeartbeatEffect
+from papayalock.core.servernotices import NOTHING
+from papayalock.dialect import CallDialect
+from papayalock.httpclient import Headers, Response
+from papayalock.messages import Announcement, HopOrder, ServerNotice
+from papayalock.node.http import Call
+from papayalock.ports import Clock
+from papayalock.result import Code, PapayalockError
+
+log = logging.getLogger(__name__)
+
+NOTICE_HEADER = b'papayalock-notice'
+# Responses with these codes may come from another server or another call.
+NOT_OF_SERVER = frozenset((Code.OTHER_SERVER, Code.FOREIGN_ANSWER))
+_NOTICE = msgspec.json.Decoder(ServerNotice)
+
+
+def notice_headers(notice: ServerNotice) -> Headers:
+    """Returns the header that tells another node of a notice, if any."""
+    if notice == NOTHING:
+        return []
+    return [(NOTICE_HEADER, msgspec.json.encode(notice))]
+
+
+def decode_notice(header: bytes) -> ServerNotice:
+    """Decodes the header of another node; b'' is an empty notice.
+
+    :raises msgspec.MsgspecError: if it is malformed
+    """
+    return _NOTICE.decode(header) if header else NOTHING
+
+
+class BackendNotices:
+    """Updates the monitor of the local server from its notices."""
+
+    def __init__(
+        self, monitor: BackendMonitor, dialect: CallDialect, clock: Clock
+    ) -> None:
+        """Binds the parts; the owner adds the callbacks."""
+        self._monitor = monitor
+        self._dialect = dialect
+        self._clock = clock
+        self.on_limit_changed: list[Callable[[], None]] = []
+        self.on_leaving: list[Callable[[], None]] = []
+
+    @property
+    def current(self) -> ServerNotice:
+        """What the server states now."""
+        return ServerNotice(
+            limit=self._monitor.limit, leaving=self._monitor.is_draining()
+        )
+
+    def record_response(
+        self, serving: Announcement, response: Response, sent_at: float
+    ) -> None:
+        """Records what the server states in a response.
+
+        :param serving: the start of the server that got the call
+        :param sent_at: time at which the call was sent
+        """
+        fault = self._dialect.classify_response(
+            response.status, response.headers
+        )
+        if fault not in NOT_OF_SERVER:
+            self.record(serving, response.headers, sent_at)
+
+    def record(
+        self, serving: Announcement, headers: Headers, sent_at: float
+    ) -> None:
+        """Records what the server states in headers that are surely its own."""
+        try:
+            notice = self._dialect.read_notice(headers)
+        except PapayalockError as exc:
+            _log_invalid(serving.server, exc.code, exc)
+            return
+        now = self._clock.monotonic()
+        if self._monitor.record_notice(serving, notice, sent_at, now):
+            self._publish_limit(serving.server)
+        if notice.leaving:
+            self._record_leaving(serving, now)
+
+    def adopt(self, order: HopOrder, call: Call) -> None:
+        """Adopts a limit that the calling node has heard, see the monitor."""
+        current = self._monitor.announcement
+        if current is None or current.server != order.server:
+            return
+        try:
+            notice = decode_notice(call.header(NOTICE_HEADER))
+        except msgspec.MsgspecError as exc:
+            _log_invalid(current.server, Code.BAD_MESSAGE, exc)
+            return
+        if notice.limit is not None and self._monitor.adopt_limit(
+            notice.limit, self._clock.monotonic()
+        ):
+            self._publish_limit(current.server)
+
+    def _publish_limit(self, server: str) -> None:
+        log.info(
+            'backend server changed its limit',
+            extra={'server': server, 'limit': self._monitor.limit},
+        )
+        for notify in self.on_limit_changed:
+            notify()
+
+    def _record_leaving(self, serving: Announcement, now: float) -> None:
+        effect = self._monitor.record_leaving(serving, now)
+        if effect is HeartbeatEffect.CHANGED:
+            log.info('backend server leaves', extra={'server': serving.server})
+            for notify in self.on_leaving:
+                notify()
+
+
+def _log_invalid(server: str, code: Code, exc: Exception) -> None:
+    log.warning(
+        'notice of a backend server is not valid',
+        extra={'server': server, 'code': code, 'reason': str(exc)},
+    )
--- a/papayalock/node/finder.py
+++ b/papayalock/node/finder.py
@@ -10,6 +10,7 @@
 from papayalock.dialect import CallDialect
 from papayalock.httpclient import Request, Response, TransportError
 from papayalock.messages import Announcement
+from papayalock.node.backendnotices import BackendNotices
 from papayalock.node.hostagent import HostAgent
 from papayalock.pool import Pool
 from papayalock.ports import Clock
@@ -35,6 +36,7 @@
     def __init__(
         self,
         agent: HostAgent,
+        notices: BackendNotices,
         dialect: CallDialect,
         pool: Pool,
         clock: Clock,
@@ -42,6 +44,7 @@
     ) -> None:
         """Binds the parts."""
         self._agent = agent
+        self._notices = notices
         self._dialect = dialect
         self._pool = pool
         self._clock = clock
@@ -54,28 +57,26 @@
         for _ in range(MAX_TRIES):
             if self._agent.backend_monitor.announcement is not None:
                 return
-            name = await self._fetch_server_name()
-            if name:
-                self._register(name)
+            response = await self._check_health()
+            if response is not None and self._register(response):
                 return
             await asyncio.sleep(TRY_INTERVAL_S)
 
-    async def _fetch_server_name(self) -> str:
+    async def _check_health(self) -> Response | None:
         policy = self._agent.host_table.policies.get(self._hosts.service)
         if policy is None or not self._hosts.backend:
-            return ''
+            return None
         address = self._hosts.backend
         headers = [(b'host', address.encode())]
         req = Request(b'GET', policy.health_path.encode(), headers)
         try:
-            response = await self._exchange(address, req)
+            return await self._exchange(address, req)
         except TransportError as exc:
             log.info(
                 'health check of the backend server failed',
                 extra={'reason': str(exc)},
             )
-            return ''
-        return self._dialect.read_server_name(response.status, response.headers)
+            return None
 
     async def _exchange(self, address: str, req: Request) -> Response:
         conn = await self._pool.acquire(address)
@@ -88,15 +89,30 @@
         self._pool.release(address, conn)
         return response
 
-    def _register(self, name: str) -> None:
-        """Registers the server, unless the endpoint table shows it draining."""
+    def _register(self, response: Response) -> bool:
+        """Registers the server that a response names, if it takes calls.
+
+        :returns: False for a response to try again after
+        """
+        name = self._dialect.read_server_name(response.status, response.headers)
+        if not name:
+            return False
+        if not self._is_draining(name):
+            self._record_discovery(name, response)
+        return True
+
+    def _is_draining(self, name: str) -> bool:
+        """Returns whether the endpoint table shows a server as draining."""
         listed = self._agent.placement.servers.get(name)
         if listed is not None and listed.endpoint.state != 'ready':
             log.info(
                 'backend server is draining and not registered',
                 extra={'server': name},
             )
-            return
+            return True
+        return False
+
+    def _record_discovery(self, name: str, response: Response) -> None:
         service = self._hosts.service
         slots = [
             server.endpoint.slots
@@ -109,8 +125,8 @@
             address=self._hosts.backend,
             slots=min(slots, default=FALLBACK_SLOTS),
         )
-        if self._agent.backend_monitor.record_discovery(
-            announcement, self._clock.monotonic()
-        ):
+        now = self._clock.monotonic()
+        if self._agent.backend_monitor.record_discovery(announcement, now):
             log.info('backend server found', extra={'server': name})
             self._agent.backend_changed()
+            self._notices.record(announcement, response.headers, now)
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -134,10 +134,15 @@
             clock,
         )
         self.finder = BackendFinder(
-            self.agent, dialects.calls, self.backend_pool, clock, hosts
+            self.agent,
+            self.inbound.notices,
+            dialects.calls,
+            self.backend_pool,
+            clock,
+            hosts,
         )
         self.agent.on_changed.append(self._apply_changes)
-        self.inbound.on_leaving.append(self.agent.backend_changed)
+        self.inbound.notices.on_leaving.append(self.agent.backend_changed)
 
     @property
     def ready(self) -> bool:
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 from dataclasses import replace
 
 import msgspec
 
 from papayalock.core.admission import Job, ServerGate, job_from_order
-from papayalock.core.heartbeats import BackendMonitor, HeartbeatEffect
-from papayalock.core.servernotices import NOTHING
+from papayalock.core.heartbeats import BackendMonitor
 from papayalock.core.shutdowntimes import RETRY_AFTER_MS
 from papayalock.dialect import BackendMetadata, CallDialect
 from papayalock.httpclient import (
@@ -18,7 +16,12 @@
     Response,
     TransportError,
 )
-from papayalock.messages import Announcement, HopOrder, ServerNotice
+from papayalock.messages import Announcement, HopOrder
+from papayalock.node.backendnotices import (
+    NOTICE_HEADER,
+    BackendNotices,
+    notice_headers,
+)
 from papayalock.node.http import OUTCOME_HEADER, Call, Reply
 from papayalock.node.keepalive import KeepaliveSender
 from papayalock.node.lag import LoopLag
@@ -32,7 +35,7 @@
 from papayalock.node.slotqueue import AdmissionRefused, Slot, SlotQueue
 from papayalock.pool import Pool
 from papayalock.ports import Clock
-from papayalock.result import Code, PapayalockError
+from papayalock.result import Code
 
 log = logging.getLogger(__name__)
 
@@ -40,11 +43,8 @@
 ORDER_HEADER = b'papayalock-order'
 ARRIVED_HEADER = b'papayalock-arrived'
 CALLEE_FAILED_HEADER = b'papayalock-callee-failed'
-NOTICE_HEADER = b'papayalock-notice'
 MAX_RESPONSE_BYTES = 16_777_216  # larger responses are not forwarded
 SERVICE_UNAVAILABLE = 503
-# Responses with these codes may come from another server or another call.
-NOT_OF_SERVER = frozenset((Code.OTHER_SERVER, Code.FOREIGN_ANSWER))
 # Event loop lag from which on a caller may have cancelled its call unnoticed.
 LOOP_STALL_MS = 100
 # Passes of the event loop after which a closed connection has been noticed.
@@ -61,7 +61,6 @@
 )
 NOT_FORWARDED = HOP_BY_HOP_HEADERS | INTERNAL_HEADERS
 _ORDER = msgspec.json.Decoder(HopOrder)
-_NOTICE = msgspec.json.Decoder(ServerNotice)
 
 
 class InboundProxy:
@@ -91,14 +90,8 @@
         self._alive_ms = alive_ms
         self._lag = lag
         self.callee_failures = 0
-        self.on_leaving: list[Callable[[], None]] = []
-
-    @property
-    def notice(self) -> ServerNotice:
-        """What the local server states about itself."""
-        return ServerNotice(
-            limit=self._monitor.limit, leaving=self._monitor.is_draining()
-        )
+        self.notices = BackendNotices(monitor, dialect, clock)
+        self.notices.on_limit_changed.append(self.update_slots)
 
     def update_slots(self) -> None:
         """Applies the slots and the rate limit that the server stated last.
@@ -121,7 +114,7 @@
         except msgspec.MsgspecError as exc:
             reply.refuse(Code.BAD_REQUEST, f'no order: {exc}')
             return
-        self._adopt_notice(order, call.header(NOTICE_HEADER))
+        self.notices.adopt(order, call)
         with KeepaliveSender(reply, self._alive_ms):
             await self._process_disconnects()
             outcome = await self.run(order, call)
@@ -144,35 +137,8 @@
 
     def _state_headers(self) -> Headers:
         """Returns the headers that tell other nodes the server's state."""
-        headers = [(LOAD_HEADER, msgspec.json.encode(self._gate.load()))]
-        if self.notice != NOTHING:
-            headers.append((NOTICE_HEADER, msgspec.json.encode(self.notice)))
-        return headers
-
-    def _adopt_notice(self, order: HopOrder, header: bytes) -> None:
-        """Adopts what the calling node has heard from the local server."""
-        current = self._monitor.announcement
-        if not header or current is None or current.server != order.server:
-            return
-        try:
-            notice = _NOTICE.decode(header)
-        except msgspec.MsgspecError as exc:
-            log.warning(
-                'notice of another node is not valid',
-                extra={'code': Code.BAD_MESSAGE, 'reason': str(exc)},
-            )
-            return
-        if notice.limit is not None and self._monitor.adopt_limit(
-            notice.limit, self._clock.monotonic()
-        ):
-            self._apply_limit(current.server)
-
-    def _apply_limit(self, server: str) -> None:
-        log.info(
-            'backend server changed its limit',
-            extra={'server': server, 'limit': self._monitor.limit},
-        )
-        self.update_slots()
+        load = (LOAD_HEADER, msgspec.json.encode(self._gate.load()))
+        return [load, *notice_headers(self.notices.current)]
 
     async def _process_disconnects(self) -> None:
         """Lets the loop read pending disconnects after it stalled.
@@ -270,7 +236,7 @@
                     headers, order.call
                 ),
             )
-            self._record_notice(serving, response, sent_at)
+            self.notices.record_response(serving, response, sent_at)
             body = await response.read_all(MAX_RESPONSE_BYTES)
             reusable = self._dialect.names_call(response.headers)
         finally:
@@ -280,40 +246,6 @@
                 conn.close()
         return self._outcome(response, body)
 
-    def _record_notice(
-        self, serving: Announcement, response: Response, sent_at: float
-    ) -> None:
-        """Records what the server states about itself in a response."""
-        fault = self._dialect.classify_response(
-            response.status, response.headers
-        )
-        if fault in NOT_OF_SERVER:
-            return
-        try:
-            notice = self._dialect.read_notice(response.headers)
-        except PapayalockError as exc:
-            log.warning(
-                'notice of the backend server is not valid',
-                extra={
-                    'server': serving.server,
-                    'code': exc.code,
-                    'reason': str(exc),
-                },
-            )
-            return
-        now = self._clock.monotonic()
-        if self._monitor.record_notice(serving, notice, sent_at, now):
-            self._apply_limit(serving.server)
-        if notice.leaving:
-            self._record_leaving(serving, now)
-
-    def _record_leaving(self, serving: Announcement, now: float) -> None:
-        effect = self._monitor.record_leaving(serving, now)
-        if effect is HeartbeatEffect.CHANGED:
-            log.info('backend server leaves', extra={'server': serving.server})
-            for notify in self.on_leaving:
-                notify()
-
     def _outcome(self, response: Response, body: bytes) -> Outcome:
         fault = self._dialect.classify_response(
             response.status, response.headers
--- a/papayalock/node/tryrunner.py
+++ b/papayalock/node/tryrunner.py
@@ -16,13 +16,17 @@
 )
 from papayalock.messages import HopOrder, ServerLoad, ServerNotice
 from papayalock.node.accesslog import RoutedCall, TryRecord
+from papayalock.node.backendnotices import (
+    NOTICE_HEADER,
+    decode_notice,
+    notice_headers,
+)
 from papayalock.node.http import OUTCOME_HEADER
 from papayalock.node.inbound import (
     ARRIVED_HEADER,
     CALLEE_FAILED_HEADER,
     MAX_RESPONSE_BYTES,
     NOT_FORWARDED,
-    NOTICE_HEADER,
     ORDER_HEADER,
     InboundProxy,
 )
@@ -44,7 +48,6 @@
 # Taken off the deadline of a hop, so that its response can return in time.
 RESPONSE_MARGIN_S = 0.002
 _LOAD = msgspec.json.Decoder(ServerLoad)
-_NOTICE = msgspec.json.Decoder(ServerNotice)
 
 
 class TryRunner:
@@ -88,7 +91,9 @@
             if server.endpoint.address == self._own_address:
                 order = self._hop_order(routed, server, may_wait=may_wait)
                 outcome = await self._inbound.run(order, routed.call)
-                self._record_notice(server, outcome, self._inbound.notice)
+                self._record_notice(
+                    server, outcome, self._inbound.notices.current
+                )
             else:
                 outcome = await self._forward(
                     routed, server, on_unresponsive, may_wait
@@ -195,9 +200,7 @@
             pair for pair in call.headers if pair[0] not in NOT_FORWARDED
         ]
         headers.append((ORDER_HEADER, msgspec.json.encode(order)))
-        notice = self._placement.notices.find(server.endpoint)
-        if notice != NOTHING:
-            headers.append((NOTICE_HEADER, msgspec.json.encode(notice)))
+        headers += notice_headers(self._placement.notices.find(server.endpoint))
         return Request(call.method, call.target, headers, call.body)
 
     def _read_outcome(
@@ -205,8 +208,11 @@
     ) -> Outcome:
         self._record_load(server, response.header(LOAD_HEADER))
         outcome = self._decode_outcome(response, body)
-        notice = self._decode_notice(server, response.header(NOTICE_HEADER))
-        if notice is not None:
+        try:
+            notice = decode_notice(response.header(NOTICE_HEADER))
+        except msgspec.MsgspecError as exc:
+            self._log_bad_header(server, 'notice', exc)
+        else:
             self._record_notice(server, outcome, notice)
         return outcome
 
@@ -243,17 +249,6 @@
         if arrived or notice != NOTHING:
             self._placement.notices.record(server.endpoint, notice)
 
-    def _decode_notice(
-        self, server: KnownServer, header: bytes
-    ) -> ServerNotice | None:
-        if not header:
-            return NOTHING
-        try:
-            return _NOTICE.decode(header)
-        except msgspec.MsgspecError as exc:
-            self._log_bad_header(server, 'notice', exc)
-        return None
-
     def _log_bad_header(
         self, server: KnownServer, name: str, exc: Exception
     ) -> None:
--- a/test/test_finder.py
+++ b/test/test_finder.py
@@ -9,7 +9,8 @@
 from papayalock.core.placement import Placement
 from papayalock.httpclient import TransportError
 from papayalock.messages import Endpoint
-from papayalock.native import NativeCalls
+from papayalock.native import LEAVING_HEADER, LIMIT_HEADER, NativeCalls
+from papayalock.node.backendnotices import BackendNotices
 from papayalock.node.finder import BackendFinder
 from papayalock.result import Code
 
@@ -17,9 +18,10 @@
 class HealthyServer:
     """Answers a health check as a pooled connection would."""
 
-    def __init__(self, status=200):
+    def __init__(self, status=200, headers=()):
         self.status = status
-        self.headers = [(b'papayalock-server', b's-1')]
+        self.headers = [(b'papayalock-server', b's-1'), *headers]
+        self.closed = False
 
     async def acquire(self, address):
         return self
@@ -36,17 +38,19 @@
         """Returns the connection to the pool."""
 
     def close(self):
-        """Closes the connection."""
+        self.closed = True
 
 
 class Node:
-    def __init__(self, state='', status=200):
+    def __init__(self, state='', status=200, headers=()):
         self.monitor = BackendMonitor(4000, 2000)
         self.placement = Placement('zone', '10.0.0.1:1', None)
         if state:
             endpoint = Endpoint('s-1', 'a', 'zone', '10.0.0.1:1', 1, 1, state)
             self.placement.upsert(endpoint, 0.0)
         self.changes = 0
+        self.server = HealthyServer(status, headers)
+        clock = SimpleNamespace(monotonic=lambda: 0.0)
         self.agent = SimpleNamespace(
             backend_monitor=self.monitor,
             placement=self.placement,
@@ -58,9 +62,10 @@
         )
         self.finder = BackendFinder(
             self.agent,
+            BackendNotices(self.monitor, NativeCalls(), clock),
             NativeCalls(),
-            HealthyServer(status),
-            SimpleNamespace(monotonic=lambda: 0.0),
+            self.server,
+            clock,
             SimpleNamespace(service='a', backend='10.0.0.1:2'),
         )
 
@@ -82,6 +87,12 @@
         assert node.monitor.announcement is None
         assert node.changes == 0
 
+    def test_learns_what_the_response_states(self):
+        node = Node(headers=[(LIMIT_HEADER, b'7.5'), (LEAVING_HEADER, b'1')])
+        asyncio.run(node.finder.run())
+        assert node.monitor.limit == 7.5
+        assert node.monitor.is_draining()
+
     @pytest.mark.parametrize('status', [503, None])
     def test_registers_no_server_without_a_healthy_response(self, status):
         node = Node(status=status)
--- a/test/test_serverleaving.py
+++ b/test/test_serverleaving.py
@@ -63,7 +63,8 @@
         async def scene():
             mesh = HostMesh(1)
             reports = []
-            mesh.nodes[0].inbound.on_leaving.append(lambda: reports.append(1))
+            notices = mesh.nodes[0].inbound.notices
+            notices.on_leaving.append(lambda: reports.append(1))
             mesh.servers[0].notice = [(LEAVING_HEADER, b'1')]
             await mesh.load(20, 1)
             return mesh.nodes[0].monitor.is_draining(), reports
