Close the connection of the health check that finds a server

What callers would see: 502 on one of the first calls after a restart of the node beside a server. A health response names no call but the server, so a late second copy of it, on the pooled connection, was accepted as the response to the next call and then refused as foreign, after the server had run it.

test_a_late_copy_of_the_response_finds_no_open_connection fails before.

--- a/papayalock/node/finder.py
+++ b/papayalock/node/finder.py
@@ -83,10 +83,9 @@
         try:
             response = await conn.call(req, HEALTH_TIMEOUT_MS)
             await response.read_all(MAX_HEALTH_BYTES)
-        except TransportError:
+        finally:
+            # A late second copy of the response names no call.
             conn.close()
-            raise
-        self._pool.release(address, conn)
         return response
 
     def _register(self, response: Response) -> bool:
--- a/test/test_finder.py
+++ b/test/test_finder.py
@@ -34,9 +34,6 @@
     async def read_all(self, limit):
         return b''
 
-    def release(self, address, conn):
-        """Returns the connection to the pool."""
-
     def close(self):
         self.closed = True
 
@@ -93,6 +90,11 @@
         assert node.monitor.limit == 7.5
         assert node.monitor.is_draining()
 
+    def test_a_late_copy_of_the_response_finds_no_open_connection(self):
+        node = Node()
+        asyncio.run(node.finder.run())
+        assert node.server.closed
+
     @pytest.mark.parametrize('status', [503, None])
     def test_registers_no_server_without_a_healthy_response(self, status):
         node = Node(status=status)
