Check in the soak that stated limits and leaving are followed

The soak's servers now state limits of 0.5 to 6 requests a second for 8 to 12 s at a time, and say in their responses that they leave; half of those that leave announce it in no heartbeat.

--- a/bench/soak/backend.py
+++ b/bench/soak/backend.py
@@ -1,7 +1,8 @@
 """A stand-in backend server that records the start and end of each run.
 
-SIGUSR1 makes it drain: it announces that it is draining, records when the node
-has acknowledged this, and still runs the calls that arrive.
+SIGUSR1 makes it drain: its responses say that it leaves, and half of the time
+it also announces that it drains and records when the node has acknowledged
+this; it still runs the calls that arrive. From time to time it states a limit.
 """
 
 import argparse
@@ -19,7 +20,13 @@
 
 from bench.soak.checks import INNER_CALL_SUFFIX
 from papayalock.messages import Announcement
-from papayalock.native import CALL_HEADER, REMAINING_HEADER, SERVER_HEADER
+from papayalock.native import (
+    CALL_HEADER,
+    LEAVING_HEADER,
+    LIMIT_HEADER,
+    REMAINING_HEADER,
+    SERVER_HEADER,
+)
 from papayalock.node.http import Call, Reply
 from papayalock.node.listener import HttpServer, ServerLimits
 
@@ -27,8 +34,12 @@
 MEAN_WORK_S = {'look': 0.02, 'pay': 0.03, 'history': 0.06}
 DEFAULT_WORK_S = 0.005
 INNER_CALL_SHARE = 0.5
+ANNOUNCED_SHARE = 0.5
 # Two pipelined calls: the server keeps reading while it runs a call, so it
 # notices a lost connection and cancels the run.
+MEAN_UNLIMITED_S = 20.0
+LIMITED_S = (8.0, 12.0)
+LIMIT_PER_S = (0.5, 6.0)
 LIMITS = ServerLimits(65536, 1 << 20, 4096, pipelined=2)
 OK = 200
 BAD_GATEWAY = 502
@@ -46,7 +57,10 @@
         self._runs = 0
         self._sequence = 0
         self._draining = False
+        self._limit: float | None = None
         self._rng = random.Random(args.seed + self._started_ms)
+        self._notice_rng = random.Random(f'notices {self._started_ms}')
+        self._announces_drain = self._notice_rng.random() < ANNOUNCED_SHARE
         self._records = os.open(
             args.book, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644
         )
@@ -65,7 +79,8 @@
         if path == '/health':
             status = UNAVAILABLE if self._draining else OK
             name = self._args.name.encode()
-            reply.send(status, [(SERVER_HEADER, name)], b'')
+            headers = [(SERVER_HEADER, name), *self._notice_headers()]
+            reply.send(status, headers, b'')
             return
         number = self._record_start(call, path)
         completed = False
@@ -78,7 +93,27 @@
             )
         name = call.header(CALL_HEADER)
         body = json.dumps({'echo': f'{name.decode()} {path}'}).encode()
-        reply.send(status, [(CALL_HEADER, name)], body)
+        headers = [(CALL_HEADER, name), *self._notice_headers()]
+        reply.send(status, headers, body)
+
+    def _notice_headers(self) -> list[tuple[bytes, bytes]]:
+        headers = [(LEAVING_HEADER, b'1')] if self._draining else []
+        if self._limit is not None:
+            headers.append((LIMIT_HEADER, b'%.2f' % self._limit))
+        return headers
+
+    async def vary_limit(self) -> None:
+        """States a limit from time to time until the process ends."""
+        rng = self._notice_rng
+        while True:
+            await asyncio.sleep(rng.expovariate(1 / MEAN_UNLIMITED_S))
+            self._state_limit(rng.uniform(*LIMIT_PER_S))
+            await asyncio.sleep(rng.uniform(*LIMITED_S))
+            self._state_limit(None)
+
+    def _state_limit(self, limit: float | None) -> None:
+        self._limit = limit
+        self.append_record(limit=limit, server=self._incarnation)
 
     def _record_start(self, call: Call, path: str) -> int:
         """Records the start of a run and returns the number of the run."""
@@ -124,7 +159,7 @@
     async def announce(self) -> None:
         """Sends one announcement to the node."""
         self._sequence += 1
-        draining = self._draining
+        draining = self._draining and self._announces_drain
         message = Announcement(
             server=self._args.name,
             service=self._args.service,
@@ -154,6 +189,8 @@
             wake.set()
 
         loop.add_signal_handler(signal.SIGUSR1, start_draining)
+        limits = asyncio.create_task(self.vary_limit())
+        limits.add_done_callback(lambda _: loop.stop())
         host, _, port = self._args.listen.rpartition(':')
         server = HttpServer(self.handle, LIMITS)
         await loop.create_server(server.make_conn, host, int(port))
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -7,7 +7,12 @@
 import httpx
 
 from bench.soak.history import CallRecord
-from papayalock.native import CALL_HEADER, REMAINING_HEADER
+from papayalock.native import (
+    CALL_HEADER,
+    LEAVING_HEADER,
+    LIMIT_HEADER,
+    REMAINING_HEADER,
+)
 from papayalock.node.http import OUTCOME_HEADER
 
 MS_PER_S = 1000
@@ -103,6 +108,8 @@
 def _record_response(record: CallRecord, response: httpx.Response) -> None:
     record.status = response.status_code
     code = response.headers.get(OUTCOME_HEADER.decode(), '').split(' ')[0]
+    record.limit_stated = LIMIT_HEADER.decode() in response.headers
+    record.leaving = LEAVING_HEADER.decode() in response.headers
     record.code = int(code) if code.isdigit() else -1
     if record.served:
         record.echo = response.json().get('echo', '')
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -6,6 +6,10 @@
 
 from bench.soak.faults import node_name
 from bench.soak.history import CallRecord, History, Publication, Run
+from bench.soak.noticechecks import (
+    check_leaving_servers_get_no_calls,
+    check_stated_limits_hold,
+)
 from papayalock.result import Code
 
 MAX_APPLY_S = 2.0  # from the acknowledgement of a version until nodes apply it
@@ -345,6 +349,8 @@
     check_versions_applied_in_time,
     check_no_version_rollback,
     check_drained_servers_get_no_calls,
+    check_leaving_servers_get_no_calls,
+    check_stated_limits_hold,
     check_calls_not_cut,
     check_planned_work_fails_no_calls,
     check_deadlines_hold,
--- a/bench/soak/cluster.py
+++ b/bench/soak/cluster.py
@@ -18,6 +18,17 @@
 MIN_DOWN_S = 0.3  # a killed process stays down at least this long
 STALL_S = 0.3  # for which a restarted node is suspended each time
 STALL_INTERVAL_S = 0.3
+STOPPING_KINDS = frozenset(
+    (
+        FaultKind.KILL,
+        FaultKind.TERM,
+        FaultKind.FREEZE,
+        FaultKind.ROLL,
+        FaultKind.WIPE,
+        FaultKind.TORN,
+        FaultKind.DRAIN,
+    )
+)
 PLANNED_KINDS = frozenset((FaultKind.TERM, FaultKind.HUP, FaultKind.ROLL))
 TORN_RECORD = b'\x00\x17half of a record'
 SHARED_SETTINGS: dict[str, dict[str, object]] = {
@@ -123,9 +134,10 @@
             return
         begin = time.monotonic()
         planned = fault.kind in PLANNED_KINDS
+        stops = fault.kind in STOPPING_KINDS
         index = len(self.spans)
         self.spans.append(
-            Disturbance(name, begin, float('inf'), planned=planned)
+            Disturbance(name, begin, float('inf'), planned=planned, stops=stops)
         )
         actions = {
             FaultKind.KILL: self._kill,
@@ -141,7 +153,9 @@
         if name in self.control:
             planned = False
         ended = time.monotonic()
-        self.spans[index] = Disturbance(name, begin, ended, planned=planned)
+        self.spans[index] = Disturbance(
+            name, begin, ended, planned=planned, stops=stops
+        )
 
     def _kill(self, fault: Fault) -> None:
         process = self.processes[fault.target]
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -21,6 +21,8 @@
     status: int = 0  # 0: no response
     code: int = -1  # result code of the node; -1: none
     echo: str = ''  # call id and path that the server received
+    limit_stated: bool = False  # whether the response stated a limit
+    leaving: bool = False  # whether the response said that its server leaves
     fault: str = ''  # why there was no response
 
     @property
@@ -55,6 +57,15 @@
     acked: float
 
 
+@dataclass(slots=True, frozen=True)
+class StatedLimit:
+    """From when on a backend server states a limit; None for no limit."""
+
+    server: str
+    limit: float | None  # requests per second
+    at: float
+
+
 @dataclass(slots=True)
 class Publication:
     """A route set that an operator sent, with the outcome."""
@@ -83,6 +94,7 @@
     begin: float
     end: float
     planned: bool = False
+    stops: bool = False  # whether the process was down or suspended
 
 
 @dataclass(slots=True)
@@ -93,6 +105,7 @@
     attempts: list[CallRecord] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     drains: list[DrainAck] = field(default_factory=list)
+    limits: list[StatedLimit] = field(default_factory=list)
     publications: list[Publication] = field(default_factory=list)
     readings: list[RouteRead] = field(default_factory=list)
     spans: list[Disturbance] = field(default_factory=list)
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -11,7 +11,7 @@
 from bench.soak.checks import find_violations
 from bench.soak.cluster import Cluster
 from bench.soak.faults import QUIET_S, Fault, draw_faults, draw_rolling_restarts
-from bench.soak.history import DrainAck, History, Run
+from bench.soak.history import DrainAck, History, Run, StatedLimit
 from bench.soak.operator import Operator
 
 DEFAULT_TRAFFIC_S = 45.0
@@ -143,6 +143,8 @@
         entry = json.loads(line)
         if 'drained' in entry:
             acked.setdefault(entry['drained'], entry['at'])
+        elif 'limit' in entry:
+            history.limits.append(StatedLimit(**entry))
         elif 'ended' in entry:
             run = runs[entry['server'], entry['ended']]
             run.ended = entry['at']
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -25,6 +25,7 @@
     Publication,
     RouteRead,
     Run,
+    StatedLimit,
 )
 from papayalock.result import Code
 
@@ -474,3 +475,62 @@
     def test_process_that_exited_unexpectedly(self):
         found = make_history([], ended_alone=['node-a (1)'])
         assert violation_kinds(found) == {'ended'}
+
+
+class TestNoticeChecks:
+    """What servers state in their responses."""
+
+    def left(self, sent, **more):
+        """Returns a history with a call sent after its server left."""
+        told = call_record('c-1', ended=100.0, leaving=True)
+        late = call_record('c-2', sent=sent, ended=sent + 0.1)
+        runs = [run_of(told, at=99.9), run_of(late, at=sent + 0.05)]
+        return make_history([told, late], runs, **more)
+
+    def test_call_after_its_node_passed_on_that_the_server_leaves(self):
+        found = checks.check_leaving_servers_get_no_calls(self.left(102.5))
+        assert [line.split(':')[0] for line in found] == ['leaving']
+
+    def test_call_within_the_drain_time_is_allowed(self):
+        assert not list(
+            checks.check_leaving_servers_get_no_calls(self.left(101.9))
+        )
+
+    @pytest.mark.parametrize(
+        ('stops', 'kinds'), [(True, []), (False, ['leaving'])]
+    )
+    def test_only_a_stop_of_the_node_is_an_excuse_for_a_call(
+        self, stops, kinds
+    ):
+        span = Disturbance('node-a', 101.0, 101.5, stops=stops)
+        found = checks.check_leaving_servers_get_no_calls(
+            self.left(102.5, spans=[span])
+        )
+        assert [line.split(':')[0] for line in found] == kinds
+
+    def limited(self, per_s, **more):
+        """Returns 10 s of calls to a server that states a limit of 2."""
+        records = [
+            call_record(
+                f'c-{number}',
+                sent=100 + number / per_s,
+                ended=100 + number / per_s + 0.1,
+                limit_stated=True,
+            )
+            for number in range(int(10 * per_s))
+        ]
+        runs = [run_of(record, at=record.sent + 0.05) for record in records]
+        limits = [StatedLimit('s-1', 2.0, 100.0), StatedLimit('s-1', None, 110)]
+        return make_history(records, runs, limits=limits, ended=120.0, **more)
+
+    def test_more_calls_than_a_limit_allows(self):
+        found = checks.check_stated_limits_hold(self.limited(5))
+        assert [line.split(':')[0] for line in found] == ['limit']
+
+    def test_calls_within_the_limit(self):
+        assert not list(checks.check_stated_limits_hold(self.limited(4)))
+
+    def test_a_disturbed_node_has_an_excuse_for_the_limit(self):
+        spans = [Disturbance('node-a', 101.0, 101.5)]
+        history = self.limited(5, spans=spans)
+        assert not list(checks.check_stated_limits_hold(history))
