Let only responses to calls lift a stated limit

A rejection, or the response to the health check by which a restarted node finds its server, may lack what the server states in its other responses. A rejection without a limit lifted the limit, and a health response without one kept a restarted node from taking the limit that its callers know.

Both new tests fail before (test_inbound, test_finder).

--- a/papayalock/node/backendnotices.py
+++ b/papayalock/node/backendnotices.py
@@ -64,7 +64,9 @@
     def record_response(
         self, serving: Announcement, response: Response, sent_at: float
     ) -> None:
-        """Records what the server states in a response.
+        """Records what the server states in a response to a call.
+
+        A rejection may lack the limit, so only other responses lift it.
 
         :param serving: the start of the server that got the call
         :param sent_at: time at which the call was sent
@@ -73,19 +75,33 @@
             response.status, response.headers
         )
         if fault not in NOT_OF_SERVER:
-            self.record(serving, response.headers, sent_at)
+            may_lift = fault == Code.DONE
+            self._record(serving, response, sent_at, may_lift=may_lift)
 
-    def record(
-        self, serving: Announcement, headers: Headers, sent_at: float
+    def record_health_check(
+        self, serving: Announcement, response: Response, sent_at: float
+    ) -> None:
+        """Records what the server states in a response to a health check."""
+        self._record(serving, response, sent_at, may_lift=False)
+
+    def _record(
+        self,
+        serving: Announcement,
+        response: Response,
+        sent_at: float,
+        *,
+        may_lift: bool,
     ) -> None:
-        """Records what the server states in headers that are surely its own."""
         try:
-            notice = self._dialect.read_notice(headers)
+            notice = self._dialect.read_notice(response.headers)
         except PapayalockError as exc:
             _log_invalid(serving.server, exc.code, exc)
             return
         now = self._clock.monotonic()
-        if self._monitor.record_notice(serving, notice, sent_at, now):
+        states_limit = notice.limit is not None or may_lift
+        if states_limit and self._monitor.record_notice(
+            serving, notice, sent_at, now
+        ):
             self._publish_limit(serving.server)
         if notice.leaving:
             self._record_leaving(serving, now)
--- a/papayalock/node/finder.py
+++ b/papayalock/node/finder.py
@@ -128,4 +128,4 @@
         if self._agent.backend_monitor.record_discovery(announcement, now):
             log.info('backend server found', extra={'server': name})
             self._agent.backend_changed()
-            self._notices.record(announcement, response.headers, now)
+            self._notices.record_health_check(announcement, response, now)
--- a/test/test_finder.py
+++ b/test/test_finder.py
@@ -90,6 +90,11 @@
         assert node.monitor.limit == 7.5
         assert node.monitor.is_draining()
 
+    def test_a_response_without_a_limit_leaves_it_to_other_nodes(self):
+        node = Node()
+        asyncio.run(node.finder.run())
+        assert node.monitor.adopt_limit(7.5, 1.0)
+
     def test_a_late_copy_of_the_response_finds_no_open_connection(self):
         node = Node()
         asyncio.run(node.finder.run())
--- a/test/test_inbound.py
+++ b/test/test_inbound.py
@@ -112,6 +112,17 @@
     def test_a_response_of_another_server_states_nothing(self):
         assert run(limited(OTHER, b'7.5'))[1].monitor.limit is None
 
+    def test_a_rejection_without_a_limit_does_not_lift_it(self):
+        async def play(second):
+            side = Side(limited(OK, b'7.5'), second, OK)
+            await side.run()
+            side.clock.now += 1
+            await side.run()
+            return side.monitor.limit
+
+        assert asyncio.run(play(SHED)) == 7.5
+        assert asyncio.run(play(OK)) is None
+
     def test_a_limit_that_cannot_be_read_changes_nothing(self):
         async def play():
             side = Side(limited(OK, b'7.5'), limited(OK, b'x'))
