Name the server and its start where nodes tell of a notice

What callers would see: a sound server that one node never uses again. A node that knows only an old start of its server, from a heartbeat that came late after the node's own restart, refuses calls for the present start and says that its server leaves. The calling node recorded that for the start it had asked for, for good.

Evidence: test_a_refusal_for_an_earlier_start_says_nothing_of_the_next fails with the notice recorded for the endpoint, as before. The header between nodes now names the server and its start, and a notice of an older start never replaces one of a newer.

--- a/papayalock/core/heartbeats.py
+++ b/papayalock/core/heartbeats.py
@@ -6,7 +6,8 @@
 
 from enum import Enum
 
-from papayalock.messages import Announcement, ServerNotice
+from papayalock.core.servernotices import is_other_start
+from papayalock.messages import Announcement, NodeNotice, ServerNotice
 
 MS_PER_S = 1000
 CLOSE_AFTER_DRAIN_SHARE = 0.6  # of the drain time; no calls are forwarded later
@@ -62,7 +63,7 @@
         current = self.announcement
         if current is not None and _order_key(heartbeat) <= _order_key(current):
             return HeartbeatEffect.STALE
-        if not self._is_current(heartbeat):
+        if not self._is_current(heartbeat.server, heartbeat.born_ms):
             self._forget_start()
         had_expired = self.lease_expired(now)
         self.announcement = heartbeat
@@ -111,7 +112,7 @@
         :param sent_at: time at which the call of the response was sent
         :returns: whether the limit changed
         """
-        if not self._is_current(serving):
+        if not self._is_current(serving.server, serving.born_ms):
             return False
         self._has_notice = True
         before = self.limit
@@ -129,11 +130,11 @@
 
         :param serving: the start of the server that sent the response
         """
-        if not self._is_current(serving):
+        if not self._is_current(serving.server, serving.born_ms):
             return HeartbeatEffect.STALE
         return self._start_draining(now)
 
-    def adopt_limit(self, limit: float, now: float) -> bool:
+    def adopt_limit(self, told: NodeNotice, now: float) -> bool:
         """Adopts the limit that another node has heard from the server.
 
         It holds until the first response; a node that has just started has
@@ -141,7 +142,12 @@
 
         :returns: whether the limit changed
         """
-        if self._has_notice or self.limit == limit:
+        limit = told.notice.limit
+        if self._has_notice or limit is None:
+            return False
+        if not self._is_current(told.server, told.born_ms):
+            return False
+        if limit == self.limit:
             return False
         self.limit = limit
         self._limit_stated_at = now
@@ -174,10 +180,15 @@
             return None
         return self.announcement
 
-    def _is_current(self, announcement: Announcement) -> bool:
-        """Whether an announcement is of the start that is known last."""
+    def _is_current(self, server: str, born_ms: int) -> bool:
+        """Whether the start of a server is the one that is known last.
+
+        A server found by a health check has no known start time.
+        """
         current = self.announcement
-        return current is not None and _is_same_start(announcement, current)
+        if current is None or current.server != server:
+            return False
+        return not is_other_start(born_ms, current.born_ms)
 
     def _forget_start(self) -> None:
         """Clears the state that ended with the previous start of the server."""
@@ -199,17 +210,6 @@
     return announcement.born_ms, announcement.sequence
 
 
-def _is_same_start(one: Announcement, other: Announcement) -> bool:
-    """Whether two announcements are of one start of a server.
-
-    A server found by a health check has no known start time.
-    """
-    known_differs = (
-        one.born_ms != other.born_ms and one.born_ms and other.born_ms
-    )
-    return one.server == other.server and not known_differs
-
-
 def _content(announcement: Announcement) -> tuple[object, ...]:
     return (
         announcement.server,
--- a/papayalock/core/servernotices.py
+++ b/papayalock/core/servernotices.py
@@ -25,21 +25,30 @@
         if known is None:
             return NOTHING
         born_ms, notice = known
-        is_same_start = born_ms == endpoint.born_ms or not (
-            born_ms and endpoint.born_ms
-        )
-        return notice if is_same_start else NOTHING
+        is_other = is_other_start(born_ms, endpoint.born_ms)
+        return NOTHING if is_other else notice
 
-    def record(self, endpoint: Endpoint, notice: ServerNotice) -> None:
+    def record(self, server: str, born_ms: int, notice: ServerNotice) -> None:
         """Records what a server stated; the oldest notices are dropped.
 
         Leaving is final for one start of a server.
+
+        :param born_ms: start of the server, in ms since the epoch; 0 if unknown
         """
-        leaving = notice.leaving or self.find(endpoint).leaving
-        notice = ServerNotice(limit=notice.limit, leaving=leaving)
-        self._notices.pop(endpoint.server, None)
+        known_born_ms, known = self._notices.get(server, (0, NOTHING))
+        if born_ms and born_ms < known_born_ms:
+            return
+        if not is_other_start(born_ms, known_born_ms):
+            leaving = notice.leaving or known.leaving
+            notice = ServerNotice(limit=notice.limit, leaving=leaving)
+        self._notices.pop(server, None)
         if notice == NOTHING:
             return
-        self._notices[endpoint.server] = (endpoint.born_ms, notice)
+        self._notices[server] = (born_ms or known_born_ms, notice)
         if len(self._notices) > MAX_REMEMBERED:
             self._notices.pop(next(iter(self._notices)))
+
+
+def is_other_start(one_ms: int, other_ms: int) -> bool:
+    """Whether two start times differ, as far as they are known."""
+    return one_ms != other_ms and bool(one_ms) and bool(other_ms)
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -353,6 +353,19 @@
     )
 
 
+class NodeNotice(Struct):
+    """
+    What one node tells another about a backend server's notice.
+    """
+
+    server: Annotated[str, Meta(max_length=64)]
+    born_ms: Annotated[
+        int,
+        Meta(description='Start time of the server, ms since the epoch; 0 if unknown.'),
+    ]
+    notice: ServerNotice
+
+
 class ControlPeer(Struct):
     """
     A control VM that nodes may poll.
--- a/papayalock/node/backendnotices.py
+++ b/papayalock/node/backendnotices.py
@@ -13,7 +13,7 @@
 from papayalock.core.servernotices import NOTHING
 from papayalock.dialect import CallDialect
 from papayalock.httpclient import Headers, Response
-from papayalock.messages import Announcement, HopOrder, ServerNotice
+from papayalock.messages import Announcement, NodeNotice, ServerNotice
 from papayalock.node.http import Call
 from papayalock.ports import Clock
 from papayalock.result import Code, PapayalockError
@@ -23,22 +23,22 @@
 NOTICE_HEADER = b'papayalock-notice'
 # Responses with these codes may come from another server or another call.
 NOT_OF_SERVER = frozenset((Code.OTHER_SERVER, Code.FOREIGN_ANSWER))
-_NOTICE = msgspec.json.Decoder(ServerNotice)
+_NOTICE = msgspec.json.Decoder(NodeNotice)
 
 
-def notice_headers(notice: ServerNotice) -> Headers:
+def notice_headers(told: NodeNotice) -> Headers:
     """Returns the header that tells another node of a notice, if any."""
-    if notice == NOTHING:
+    if told.notice == NOTHING:
         return []
-    return [(NOTICE_HEADER, msgspec.json.encode(notice))]
+    return [(NOTICE_HEADER, msgspec.json.encode(told))]
 
 
-def decode_notice(header: bytes) -> ServerNotice:
-    """Decodes the header of another node; b'' is an empty notice.
+def decode_notice(header: bytes) -> NodeNotice | None:
+    """Decodes the header of another node; returns None without a header.
 
     :raises msgspec.MsgspecError: if it is malformed
     """
-    return _NOTICE.decode(header) if header else NOTHING
+    return _NOTICE.decode(header) if header else None
 
 
 class BackendNotices:
@@ -55,11 +55,15 @@
         self.on_leaving: list[Callable[[], None]] = []
 
     @property
-    def current(self) -> ServerNotice:
-        """What the server states now."""
-        return ServerNotice(
+    def current(self) -> NodeNotice:
+        """What the server states now, and which start of which server it is."""
+        serving = self._monitor.announcement
+        notice = ServerNotice(
             limit=self._monitor.limit, leaving=self._monitor.is_draining()
         )
+        if serving is None:
+            return NodeNotice('', 0, notice)
+        return NodeNotice(serving.server, serving.born_ms, notice)
 
     def record_response(
         self, serving: Announcement, response: Response, sent_at: float
@@ -106,20 +110,17 @@
         if notice.leaving:
             self._record_leaving(serving, now)
 
-    def adopt(self, order: HopOrder, call: Call) -> None:
+    def adopt(self, call: Call) -> None:
         """Adopts a limit that the calling node has heard, see the monitor."""
-        current = self._monitor.announcement
-        if current is None or current.server != order.server:
-            return
         try:
-            notice = decode_notice(call.header(NOTICE_HEADER))
+            told = decode_notice(call.header(NOTICE_HEADER))
         except msgspec.MsgspecError as exc:
-            _log_invalid(current.server, Code.BAD_MESSAGE, exc)
+            _log_invalid('', Code.BAD_MESSAGE, exc)
             return
-        if notice.limit is not None and self._monitor.adopt_limit(
-            notice.limit, self._clock.monotonic()
+        if told is not None and self._monitor.adopt_limit(
+            told, self._clock.monotonic()
         ):
-            self._publish_limit(current.server)
+            self._publish_limit(told.server)
 
     def _publish_limit(self, server: str) -> None:
         log.info(
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -114,7 +114,7 @@
         except msgspec.MsgspecError as exc:
             reply.refuse(Code.BAD_REQUEST, f'no order: {exc}')
             return
-        self.notices.adopt(order, call)
+        self.notices.adopt(call)
         with KeepaliveSender(reply, self._alive_ms):
             await self._process_disconnects()
             outcome = await self.run(order, call)
--- a/papayalock/node/tryrunner.py
+++ b/papayalock/node/tryrunner.py
@@ -14,7 +14,7 @@
     Response,
     TransportError,
 )
-from papayalock.messages import HopOrder, ServerLoad, ServerNotice
+from papayalock.messages import HopOrder, NodeNotice, ServerLoad
 from papayalock.node.accesslog import RoutedCall, TryRecord
 from papayalock.node.backendnotices import (
     NOTICE_HEADER,
@@ -200,7 +200,11 @@
             pair for pair in call.headers if pair[0] not in NOT_FORWARDED
         ]
         headers.append((ORDER_HEADER, msgspec.json.encode(order)))
-        headers += notice_headers(self._placement.notices.find(server.endpoint))
+        endpoint = server.endpoint
+        notice = self._placement.notices.find(endpoint)
+        headers += notice_headers(
+            NodeNotice(endpoint.server, endpoint.born_ms, notice)
+        )
         return Request(call.method, call.target, headers, call.body)
 
     def _read_outcome(
@@ -209,11 +213,11 @@
         self._record_load(server, response.header(LOAD_HEADER))
         outcome = self._decode_outcome(response, body)
         try:
-            notice = decode_notice(response.header(NOTICE_HEADER))
+            told = decode_notice(response.header(NOTICE_HEADER))
         except msgspec.MsgspecError as exc:
             self._log_bad_header(server, 'notice', exc)
         else:
-            self._record_notice(server, outcome, notice)
+            self._record_notice(server, outcome, told)
         return outcome
 
     def _decode_outcome(self, response: Response, body: bytes) -> Outcome:
@@ -239,15 +243,23 @@
         )
 
     def _record_notice(
-        self, server: KnownServer, outcome: Outcome, notice: ServerNotice
+        self,
+        server: KnownServer,
+        outcome: Outcome,
+        told: NodeNotice | None,
     ) -> None:
         """Records what a server states, as its node says.
 
-        A node that has had no response of the server may not know it yet.
+        A node that has had no response of the server may not know it yet, and
+        one may tell of another server than the one that was asked for.
         """
+        notices = self._placement.notices
         arrived = isinstance(outcome, ServerResponse) or outcome.arrived
-        if arrived or notice != NOTHING:
-            self._placement.notices.record(server.endpoint, notice)
+        if told is not None:
+            notices.record(told.server, told.born_ms, told.notice)
+        elif arrived:
+            endpoint = server.endpoint
+            notices.record(endpoint.server, endpoint.born_ms, NOTHING)
 
     def _log_bad_header(
         self, server: KnownServer, name: str, exc: Exception
--- a/test/test_finder.py
+++ b/test/test_finder.py
@@ -8,7 +8,7 @@
 from papayalock.core.heartbeats import BackendMonitor
 from papayalock.core.placement import Placement
 from papayalock.httpclient import TransportError
-from papayalock.messages import Endpoint
+from papayalock.messages import Endpoint, NodeNotice, ServerNotice
 from papayalock.native import LEAVING_HEADER, LIMIT_HEADER, NativeCalls
 from papayalock.node.backendnotices import BackendNotices
 from papayalock.node.finder import BackendFinder
@@ -93,7 +93,8 @@
     def test_a_response_without_a_limit_leaves_it_to_other_nodes(self):
         node = Node()
         asyncio.run(node.finder.run())
-        assert node.monitor.adopt_limit(7.5, 1.0)
+        told = NodeNotice('s-1', 5, ServerNotice(limit=7.5))
+        assert node.monitor.adopt_limit(told, 1.0)
 
     def test_a_late_copy_of_the_response_finds_no_open_connection(self):
         node = Node()
--- a/test/test_serverleaving.py
+++ b/test/test_serverleaving.py
@@ -72,6 +72,34 @@
         assert play(scene()) == (True, [1])
 
 
+class TestNoticeOfAnotherStart:
+    """A node may tell of another start than the one that it was asked for."""
+
+    def mesh_with_old_start(self) -> HostMesh:
+        """Returns a mesh in which a node has only heard an old heartbeat."""
+        mesh = HostMesh(2)
+        stale = beat(9, server='i-0', born=500, draining=True)
+        mesh.nodes[0].monitor.announcement = None
+        mesh.nodes[0].monitor.record_heartbeat(stale, 0)
+        return mesh
+
+    def test_a_refusal_for_an_earlier_start_says_nothing_of_the_next(self):
+        async def scene():
+            mesh = self.mesh_with_old_start()
+            await mesh.load(60, 1, at=[1])
+            mesh.nodes[0].announce()
+            await mesh.load(60, 3, at=[1])
+            return mesh.servers[0].arrivals
+
+        assert play(scene())
+
+    def test_an_older_start_does_not_replace_a_newer_one(self):
+        notices = ServerNotices()
+        notices.record('x', 2, ServerNotice(limit=2))
+        notices.record('x', 1, ServerNotice(leaving=True))
+        assert notices.find(endpoint('x', born_ms=2)) == ServerNotice(limit=2)
+
+
 class TestMonitor:
     def test_leaving_is_final_for_one_start(self):
         monitor = make_monitor()
@@ -97,9 +125,8 @@
         self, later
     ):
         selector = placement(endpoint('x', born_ms=1))
-        known = selector.servers['x'].endpoint
-        selector.notices.record(known, ServerNotice(leaving=True))
-        selector.notices.record(known, later)
+        selector.notices.record('x', 1, ServerNotice(leaving=True))
+        selector.notices.record('x', 1, later)
         selector.upsert(endpoint('x', born_ms=1, incarnation=2), 1)
         assert selector.choose('floor', 1) is None
         selector.upsert(endpoint('x', born_ms=2, incarnation=2), 2)
--- a/test/test_serverlimit.py
+++ b/test/test_serverlimit.py
@@ -164,8 +164,7 @@
 class TestChoice:
     def limited(self, limit: float) -> Placement:
         selector = placement(endpoint('x'), endpoint('y'))
-        server = selector.servers['x']
-        selector.notices.record(server.endpoint, ServerNotice(limit=limit))
+        selector.notices.record('x', 0, ServerNotice(limit=limit))
         return selector
 
     def test_a_server_with_a_limit_counts_as_slower(self):
@@ -192,7 +191,7 @@
     def test_the_next_start_of_a_server_has_no_limit(self):
         selector = placement(endpoint('x', born_ms=1))
         known = selector.servers['x'].endpoint
-        selector.notices.record(known, ServerNotice(limit=2))
+        selector.notices.record('x', 1, ServerNotice(limit=2))
         assert selector.notices.find(known).limit == 2
         restarted = endpoint('x', born_ms=2)
         assert selector.notices.find(restarted).limit is None
@@ -200,6 +199,6 @@
     def test_notices_are_bounded(self):
         notices = ServerNotices()
         for number in range(MAX_REMEMBERED + 1):
-            notices.record(endpoint(f's{number}'), ServerNotice(limit=1))
+            notices.record(f's{number}', 1, ServerNotice(limit=1))
         assert notices.find(endpoint('s0')).limit is None
         assert notices.find(endpoint('s1')).limit == 1
