Try a limited server again some time after its limit was heard

What callers would see: a server that is never used again after a limit that has long ended, while others work at their limit. The choice of a server counted a limited one as slower until a response without a limit came, and sent it no call while others had room, so no such response ever came.

Evidence: test_a_server_gets_its_share_again_after_its_limit_has_ended: 0 calls from 4 s to 6 s after the end of a limit of 0.5, over half of its share now.

A limit counts in the choice for 2 s after it was heard. The gate keeps it as before, and refusals space out the tries.

--- a/papayalock/core/placement.py
+++ b/papayalock/core/placement.py
@@ -212,15 +212,17 @@
         if server.load is not None:
             service_s = server.load.pace_ms / MS_PER_S
             failing = server.load.failing
-        slots = self._usable_slots(server, service_s)
+        slots = self._usable_slots(server, service_s, now)
         jobs = _estimated_jobs(server, now)
         wait = max(0.0, jobs + 1 - slots) / slots * service_s
         run = service_s * (1 + BUSY_WEIGHT * min(1.0, jobs / slots))
         return (wait + run) * (1 + FAILING_WEIGHT * failing)
 
-    def _usable_slots(self, server: KnownServer, service_s: float) -> float:
+    def _usable_slots(
+        self, server: KnownServer, service_s: float, now: float
+    ) -> float:
         """Returns the slots that a server can keep busy at its rate limit."""
-        limit = self.notices.find(server.endpoint).limit
+        limit = self.notices.recent_limit(server.endpoint, now)
         if limit is None:
             return _slots(server)
         return max(MIN_SLOTS, min(_slots(server), limit * service_s))
--- a/papayalock/core/servernotices.py
+++ b/papayalock/core/servernotices.py
@@ -1,11 +1,23 @@
 """What backend servers stated about themselves, as a node has heard it."""
 
+from dataclasses import dataclass
+
 from papayalock.messages import Endpoint, ServerNotice
 
 MAX_REMEMBERED = 1024
+LIMIT_RECENT_S = 2.0
 NOTHING = ServerNotice()
 
 
+@dataclass(slots=True, frozen=True)
+class HeardNotice:
+    """A notice, the start of the server, and when the notice was heard."""
+
+    born_ms: int  # start of the server, ms since the epoch; 0 if unknown
+    notice: ServerNotice
+    heard_at: float  # monotonic seconds
+
+
 class ServerNotices:
     """The newest notice of each server, for its current start.
 
@@ -13,40 +25,54 @@
     server, and what the server stated holds until its own next start.
     """
 
-    __slots__ = ('_notices',)
+    __slots__ = ('_heard',)
 
     def __init__(self) -> None:
         """Starts without notices."""
-        self._notices: dict[str, tuple[int, ServerNotice]] = {}
+        self._heard: dict[str, HeardNotice] = {}
 
     def find(self, endpoint: Endpoint) -> ServerNotice:
         """Returns what a server stated since its start."""
-        known = self._notices.get(endpoint.server)
-        if known is None:
+        heard = self._heard.get(endpoint.server)
+        if heard is None or is_other_start(heard.born_ms, endpoint.born_ms):
             return NOTHING
-        born_ms, notice = known
-        is_other = is_other_start(born_ms, endpoint.born_ms)
-        return NOTHING if is_other else notice
+        return heard.notice
+
+    def recent_limit(self, endpoint: Endpoint, now: float) -> float | None:
+        """Returns the limit that a server stated lately, if any.
 
-    def record(self, server: str, born_ms: int, notice: ServerNotice) -> None:
+        Only a call can tell that a limit has ended, so a limit no longer
+        counts some time after it was heard; the server's gate still keeps it.
+        """
+        heard = self._heard.get(endpoint.server)
+        if heard is None or now - heard.heard_at > LIMIT_RECENT_S:
+            return None
+        return self.find(endpoint).limit
+
+    def record(
+        self, server: str, born_ms: int, notice: ServerNotice, now: float
+    ) -> None:
         """Records what a server stated; the oldest notices are dropped.
 
         Leaving is final for one start of a server.
 
         :param born_ms: start of the server, in ms since the epoch; 0 if unknown
         """
-        known_born_ms, known = self._notices.get(server, (0, NOTHING))
-        if born_ms and born_ms < known_born_ms:
+        known = self._heard.get(server, UNHEARD)
+        if born_ms and born_ms < known.born_ms:
             return
-        if not is_other_start(born_ms, known_born_ms):
-            leaving = notice.leaving or known.leaving
+        if not is_other_start(born_ms, known.born_ms):
+            leaving = notice.leaving or known.notice.leaving
             notice = ServerNotice(limit=notice.limit, leaving=leaving)
-        self._notices.pop(server, None)
+        self._heard.pop(server, None)
         if notice == NOTHING:
             return
-        self._notices[server] = (born_ms or known_born_ms, notice)
-        if len(self._notices) > MAX_REMEMBERED:
-            self._notices.pop(next(iter(self._notices)))
+        self._heard[server] = HeardNotice(born_ms or known.born_ms, notice, now)
+        if len(self._heard) > MAX_REMEMBERED:
+            self._heard.pop(next(iter(self._heard)))
+
+
+UNHEARD = HeardNotice(0, NOTHING, float('-inf'))
 
 
 def is_other_start(one_ms: int, other_ms: int) -> bool:
--- a/papayalock/node/tryrunner.py
+++ b/papayalock/node/tryrunner.py
@@ -255,11 +255,12 @@
         """
         notices = self._placement.notices
         arrived = isinstance(outcome, ServerResponse) or outcome.arrived
+        now = self._clock.monotonic()
         if told is not None:
-            notices.record(told.server, told.born_ms, told.notice)
+            notices.record(told.server, told.born_ms, told.notice, now)
         elif arrived:
             endpoint = server.endpoint
-            notices.record(endpoint.server, endpoint.born_ms, NOTHING)
+            notices.record(endpoint.server, endpoint.born_ms, NOTHING, now)
 
     def _log_bad_header(
         self, server: KnownServer, name: str, exc: Exception
--- a/test/test_serverleaving.py
+++ b/test/test_serverleaving.py
@@ -95,8 +95,8 @@
 
     def test_an_older_start_does_not_replace_a_newer_one(self):
         notices = ServerNotices()
-        notices.record('x', 2, ServerNotice(limit=2))
-        notices.record('x', 1, ServerNotice(leaving=True))
+        notices.record('x', 2, ServerNotice(limit=2), 0)
+        notices.record('x', 1, ServerNotice(leaving=True), 0)
         assert notices.find(endpoint('x', born_ms=2)) == ServerNotice(limit=2)
 
 
@@ -125,8 +125,8 @@
         self, later
     ):
         selector = placement(endpoint('x', born_ms=1))
-        selector.notices.record('x', 1, ServerNotice(leaving=True))
-        selector.notices.record('x', 1, later)
+        selector.notices.record('x', 1, ServerNotice(leaving=True), 0)
+        selector.notices.record('x', 1, later, 0)
         selector.upsert(endpoint('x', born_ms=1, incarnation=2), 1)
         assert selector.choose('floor', 1) is None
         selector.upsert(endpoint('x', born_ms=2, incarnation=2), 2)
--- a/test/test_serverlimit.py
+++ b/test/test_serverlimit.py
@@ -74,6 +74,18 @@
 
 
 class TestCallers:
+    def test_a_server_gets_its_share_again_after_its_limit_has_ended(self):
+        async def scene():
+            mesh = await play_limit(b'0.5')
+            mesh.servers[0].notice.clear()
+            await mesh.load(160, 4)
+            mesh.servers[0].arrivals.clear()
+            await mesh.load(160, 2)
+            return len(mesh.servers[0].arrivals)
+
+        fair_share = 160 * 2 / 4
+        assert play(scene()) > fair_share / 2
+
     def test_calls_go_to_servers_without_a_limit_while_these_have_room(self):
         mesh = play(play_limit(b'7.1'))
         assert all(isinstance(one, ServerResponse) for one in mesh.outcomes)
@@ -164,7 +176,7 @@
 class TestChoice:
     def limited(self, limit: float) -> Placement:
         selector = placement(endpoint('x'), endpoint('y'))
-        selector.notices.record('x', 0, ServerNotice(limit=limit))
+        selector.notices.record('x', 0, ServerNotice(limit=limit), 0)
         return selector
 
     def test_a_server_with_a_limit_counts_as_slower(self):
@@ -191,7 +203,7 @@
     def test_the_next_start_of_a_server_has_no_limit(self):
         selector = placement(endpoint('x', born_ms=1))
         known = selector.servers['x'].endpoint
-        selector.notices.record('x', 1, ServerNotice(limit=2))
+        selector.notices.record('x', 1, ServerNotice(limit=2), 0)
         assert selector.notices.find(known).limit == 2
         restarted = endpoint('x', born_ms=2)
         assert selector.notices.find(restarted).limit is None
@@ -199,6 +211,6 @@
     def test_notices_are_bounded(self):
         notices = ServerNotices()
         for number in range(MAX_REMEMBERED + 1):
-            notices.record(f's{number}', 1, ServerNotice(limit=1))
+            notices.record(f's{number}', 1, ServerNotice(limit=1), 0)
         assert notices.find(endpoint('s0')).limit is None
         assert notices.find(endpoint('s1')).limit == 1
