Send no queued call whose caller has left, not even one that runs once

Cause: a call that is not idempotent was shielded at the node of its caller from beginning to end, so that its server is not interrupted. It thus went on queueing, and was tried elsewhere, for nobody.

The node of the server now decides, since it alone knows whether the server has got the call: queued ones end with their caller, running ones that may not be repeated go on and keep their slot. A connection between nodes that breaks no longer interrupts such a call either.

--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -32,7 +32,7 @@
     ServerResponse,
 )
 from papayalock.node.relayedcall import HOP_BY_HOP_HEADERS, LOAD_HEADER
-from papayalock.node.slotqueue import AdmissionRefused, Slot, SlotQueue
+from papayalock.node.slotqueue import AdmissionRefused, SlotQueue
 from papayalock.pool import Pool
 from papayalock.ports import Clock
 from papayalock.result import Code
@@ -90,6 +90,7 @@
         self._alive_ms = alive_ms
         self._lag = lag
         self.callee_failures = 0
+        self._running: set[asyncio.Task[Outcome]] = set()
         self.notices = BackendNotices(monitor, dialect, clock)
         self.notices.on_limit_changed.append(self.update_slots)
 
@@ -159,8 +160,8 @@
         if self._gate.shutdown_times.refuses_hop(job.deadline_at, now):
             return NoResponse(Code.DRAINING, 'the node stops', RETRY_AFTER_MS)
         try:
-            async with Slot(self._queue, job):
-                return await self._send(order, call, job)
+            await self._queue.acquire(job)
+            return await self._run_admitted(order, call, job)
         except AdmissionRefused as exc:
             if order.may_wait:
                 self._log_refusal(order, exc)
@@ -169,6 +170,33 @@
             self._log_abandoned(order, job)
             raise
 
+    @property
+    def busy(self) -> bool:
+        """Whether the server is running a call that is not idempotent.
+
+        It may be running without its caller, see :meth:`_run_admitted`.
+        """
+        return bool(self._running)
+
+    async def _run_admitted(
+        self, order: HopOrder, call: Call, job: Job
+    ) -> Outcome:
+        """Runs a call that holds a slot, and frees the slot.
+
+        A call that is not idempotent continues after its caller disconnects,
+        so that its server is not interrupted in the middle of it.
+        """
+        if order.repeatable:
+            try:
+                return await self._send(order, call, job)
+            finally:
+                self._queue.release(job)
+        task = asyncio.ensure_future(self._send(order, call, job))
+        task.add_done_callback(lambda _: self._queue.release(job))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        return await asyncio.shield(task)
+
     def _find_server(
         self, order: HopOrder, now: float
     ) -> Announcement | NoResponse:
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -1,7 +1,5 @@
 """The outbound proxy of a node with host routing: runs the calls of its VM."""
 
-import asyncio
-
 from papayalock.core.budget import SharedBudget
 from papayalock.core.hedging import FREE_SLOT_SEARCH_SHARE, CallProgress
 from papayalock.core.hostroutes import TrafficSplitter
@@ -60,7 +58,6 @@
         self._splitter = TrafficSplitter()
         self._budgets: dict[str, SharedBudget] = {}
         self._usual_deadline_ms: dict[str, int] = {}
-        self._background: set[asyncio.Task[Outcome]] = set()
         self._access_log = AccessLog(
             agent, clock, metrics, lag, settings.log.sample
         )
@@ -78,11 +75,8 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a call that is not idempotent is running.
-
-        It may be running without its caller, see :meth:`_run_to_deadline`.
-        """
-        return bool(self._background)
+        """Whether a call that is not idempotent runs at the local server."""
+        return self._inbound.busy
 
     async def _run(self, call: Call) -> Outcome:
         routed = self._route_call(call)
@@ -140,8 +134,8 @@
     ) -> Outcome:
         """Runs a call until its deadline.
 
-        A call that is not idempotent continues after its caller disconnects,
-        so that its server is not interrupted in the middle of it.
+        When the caller disconnects, the node of the server decides whether
+        the call has to continue.
         """
         hedged = HedgedCall(
             routed,
@@ -151,12 +145,7 @@
             self.try_runner,
             self._clock,
         )
-        task = asyncio.ensure_future(hedged.run())
-        if routed.route.repeatable:
-            return await task
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-        return await asyncio.shield(task)
+        return await hedged.run()
 
     def _new_progress(self, routed: RoutedCall) -> CallProgress:
         return CallProgress(
--- a/test/hostmesh.py
+++ b/test/hostmesh.py
@@ -95,10 +95,12 @@
     def __init__(self) -> None:
         self.notice: list[tuple[bytes, bytes]] = []
         self.arrivals: list[float] = []
+        self.completed = 0
 
     async def handle(self, call: Call, reply: Reply) -> None:
         self.arrivals.append(asyncio.get_running_loop().time())
         await asyncio.sleep(SERVICE_S)
+        self.completed += 1
         name = (CALL_HEADER, call.header(CALL_HEADER))
         reply.send(200, [name, *self.notice], b'ok')
 
@@ -121,8 +123,10 @@
         version = 1
 
     def __init__(self, address: str, seed: int) -> None:
+        times = {'timeout_ms': 1200, 'target_ms': 300}
         self.host_table = table(
-            route('r', tries=2, timeout_ms=1200, target_ms=300)
+            route('r', tries=2, **times),
+            route('once', tries=2, repeatable=False, **times),
         )
         self.placement = Placement('a', address, random.Random(seed))
 
@@ -241,7 +245,7 @@
                     node.inbound.update_slots()
         self.outcomes += await asyncio.gather(*tasks)
 
-    async def call(self, number: int) -> Outcome:
+    async def call(self, number: int, path: bytes = b'/r/x') -> Outcome:
         """Makes one call at a node."""
         headers = [
             (b'host', b'a.example'),
@@ -249,7 +253,7 @@
             (REMAINING_HEADER, b'1200'),
         ]
         node = self.nodes[number]
-        return await node.outbound._run(Call(b'GET', b'/r/x', headers))
+        return await node.outbound._run(Call(b'GET', path, headers))
 
 
 def play(scene: Coroutine[Any, Any, Any]) -> Any:
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -98,6 +98,7 @@
 
 class FakeInbound:
     callee_failures = 0
+    busy = False
 
 
 class NoMetrics:
