Use one reader of notices and one filter of untried servers

Both dialects looked up two headers before they made the same notice of them: parse_notice takes the headers and the two names. The load model's random placement calls Placement._untried in place of its own copy of that filter, and the mesh of the tests uses test_outbound's NoMetrics.

--- a/bench/loadmodel/baseline.py
+++ b/bench/loadmodel/baseline.py
@@ -25,11 +25,7 @@
         route: str = '',
     ) -> KnownServer | None:
         """Returns a random ready server outside ``avoid``, or None."""
-        candidates = [
-            server
-            for server in self.ready(service)
-            if server.endpoint.server not in avoid
-        ]
+        candidates = self._untried(service, avoid)
         return self.rng.choice(candidates) if candidates else None
 
     choose_free = choose
--- a/papayalock/native.py
+++ b/papayalock/native.py
@@ -48,13 +48,19 @@
     return next((content for key, content in headers if key == name), b'')
 
 
-def make_notice(limit: bytes, leaving: bytes) -> ServerNotice:
-    """Returns the notice in two headers of a backend server's response.
-
-    :param limit: requests per second as a decimal number, b'' for no limit
-    :param leaving: b'1' if the server is about to shut down
+def parse_notice(
+    headers: Headers, limit_header: bytes, leaving_header: bytes
+) -> ServerNotice:
+    """Returns the notice in the headers of a backend server's response.
+
+    :param limit_header: name of the header with the requests per second, a
+        decimal number; without it there is no limit
+    :param leaving_header: name of the header that is ``1`` if the server is
+        about to shut down
     :raises PapayalockError: ``BAD_MESSAGE`` if the limit is not a number
     """
+    limit = first_header(headers, limit_header)
+    leaving = first_header(headers, leaving_header)
     if limit and not _RATE.fullmatch(limit):
         raise PapayalockError(
             Code.BAD_MESSAGE, f'{limit!r} is not a request rate'
@@ -103,10 +109,7 @@
 
     def read_notice(self, headers: Headers) -> ServerNotice:
         """Reads the limit and the leaving header."""
-        return make_notice(
-            first_header(headers, LIMIT_HEADER),
-            first_header(headers, LEAVING_HEADER),
-        )
+        return parse_notice(headers, LIMIT_HEADER, LEAVING_HEADER)
 
     def read_server_name(self, status: int, headers: Headers) -> str:
         """Reads the server header of a successful health check."""
--- a/test/hostmesh.py
+++ b/test/hostmesh.py
@@ -21,6 +21,7 @@
 from papayalock.result import Code
 from test.test_heartbeats import beat
 from test.test_hostroutes import table
+from test.test_outbound import NoMetrics
 from test.test_placement import endpoint
 from test.test_routesets import route
 from test.wires import FakeTransport, FastLoop, LoopClock
@@ -131,11 +132,6 @@
         self.placement = Placement('a', address, random.Random(seed))
 
 
-class NoMetrics:
-    def count(self, *counted: object) -> None:
-        """Counts nothing."""
-
-
 class MeshNode:
     """One node; ``i-N`` is the server beside the N-th node."""
 
