--- a/papayalock/core/apply.py
+++ b/papayalock/core/apply.py
@@ -100,9 +100,7 @@
         return parts
 
 
-def _parts_to_check(
-    parts: dict[str, Part], delta: Delta
-) -> Collection[Part]:
+def _parts_to_check(parts: dict[str, Part], delta: Delta) -> Collection[Part]:
     """Returns the parts whose routes a delta may leave without a target.
 
     A delta costs a node little if it changes little: unless it removes a
--- a/papayalock/core/ledger.py
+++ b/papayalock/core/ledger.py
@@ -17,7 +17,11 @@
     merged_register,
 )
 from papayalock.core.partnames import is_shared
-from papayalock.core.routesets import RouteSetState, RouteSetStore
+from papayalock.core.routesets import (
+    PartChanges,
+    RouteSetState,
+    RouteSetStore,
+)
 from papayalock.messages import (
     AuditRecord,
     Part,
@@ -25,7 +29,6 @@
     PublishRes,
     Register,
     Revise,
-    RouteSet,
     Rules,
     SetExistence,
     SetMember,
@@ -226,24 +229,20 @@
         else:
             response, changed = self.route_sets.publish(command.route_set)
         if changed:
-            manifest = self._published_manifest(previous)
+            manifest = self._changed_manifest(
+                self.route_sets.changes_since(previous)
+            )
             self._record_version(
                 index, command.at_ms, command.operator, 'routes', manifest
             )
         return response
 
-    def _published_manifest(self, previous: RouteSet | None) -> Manifest:
-        """Returns the manifest with the route set that is now in force.
-
-        :param previous: the route set of the newest version
-        """
+    def _changed_manifest(self, changes: PartChanges) -> Manifest:
+        """Returns the manifest of the newest version with changed parts."""
         manifest = dict(self._newest_parts())
-        for name in self.route_sets.removed_parts(previous):
+        for name in changes.removed:
             manifest.pop(name, None)
-        manifest.update(
-            self._store_part(part)
-            for part in self.route_sets.changed_parts(previous)
-        )
+        manifest.update(self._store_part(part) for part in changes.changed)
         return manifest
 
     def _newest_parts(self) -> Manifest:
--- a/papayalock/core/routesets.py
+++ b/papayalock/core/routesets.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 import msgspec
 
@@ -32,6 +33,14 @@
     accepted: dict[str, int] = msgspec.field(default_factory=dict)
 
 
+@dataclass(slots=True, frozen=True)
+class PartChanges:
+    """How the parts of one route set differ from those of another."""
+
+    changed: list[Part]  # new parts and those that may differ
+    removed: set[str]  # names
+
+
 class RouteSetStore:
     """Accepts route sets by compare-and-set on the operator's label.
 
@@ -156,14 +165,20 @@
 
     def parts(self) -> Iterator[Part]:
         """Yields the parts of the set in force, which all nodes hold."""
-        yield from self.changed_parts(None)
+        yield from self._changed_parts(None)
 
-    def changed_parts(self, previous: RouteSet | None) -> Iterator[Part]:
-        """Yields the parts of the set in force, without unchanged routes.
+    def changes_since(self, previous: RouteSet | None) -> PartChanges:
+        """Returns how the parts differ from those of an earlier set.
 
-        :param previous: an earlier set; a revision shares the routes that it
+        :param previous: the earlier set; a revision shares the routes that it
             does not change with the set that it is based on
         """
+        return PartChanges(
+            list(self._changed_parts(previous)), self._removed_parts(previous)
+        )
+
+    def _changed_parts(self, previous: RouteSet | None) -> Iterator[Part]:
+        """Yields the parts of the set in force, without unchanged routes."""
         current = self.state.current
         if current is None:
             return
@@ -176,7 +191,7 @@
         if current.limits is not None:
             yield _shared_part(LIMITS_PART, limits=current.limits)
 
-    def removed_parts(self, previous: RouteSet | None) -> set[str]:
+    def _removed_parts(self, previous: RouteSet | None) -> set[str]:
         """Returns the names of parts that only an earlier set has."""
         current = self.state.current
         if previous is None or current is None:
--- a/test/test_hostroutes.py
+++ b/test/test_hostroutes.py
@@ -70,9 +70,7 @@
                 parts.pop(name)
             changed = {
                 part.service: part
-                for part in (
-                    shared(self.random_route(rng)) for _ in range(3)
-                )
+                for part in (shared(self.random_route(rng)) for _ in range(3))
             }
             parts.update(changed)
             updated.update(changed.values(), removed)
--- a/test/test_routesets.py
+++ b/test/test_routesets.py
@@ -252,9 +252,7 @@
         as_a_whole, _ = self.revised(5)
         by_revision.apply(2, by_revision.route_sets.publish_command(routes))
         self.publish(as_a_whole, 2, routes)
-        assert (
-            by_revision.versions[-1].parts == as_a_whole.versions[-1].parts
-        )
+        assert by_revision.versions[-1].parts == as_a_whole.versions[-1].parts
         assert by_revision.parts == as_a_whole.parts
 
     def test_parts_are_kept_as_long_as_a_version_that_has_them(self):
