Close connections whose peers send bytes without end

A server in trouble may go on sending bytes that are no answer. What callers would have seen: a head line, status line, trailer or chunk line without end was kept by the parser without any limit (only whole headers were counted), so one server could fill a node's memory; fifty bodies without end took 16 MB each; and a server that sent a byte now and then was never silent, so the slot of a call that may run once was held for ever, long after its caller had left, as was the finder of a restarted node. Callers and peers could do the same to a node, and to a control VM, whose uvicorn limits neither size nor time of a head.

test_endless: seven kinds of endless responses, each by 50 servers at once on loopback; a slow one on an injected clock; callers; control VMs. Not covered: what a slow caller has not read yet is buffered outside this budget.

--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -20,6 +20,7 @@
 from papayalock.control.disk import FileDisk
 from papayalock.control.distributor import Distributor
 from papayalock.control.endpointsync import EndpointSync
+from papayalock.control.httpprotocol import LimitedHttpProtocol
 from papayalock.control.group import RaftGroup, StateMachine
 from papayalock.control.identity import Identity, load_or_create_identity
 from papayalock.control.membermanager import MemberManager
@@ -156,7 +157,7 @@
             timeout_graceful_shutdown=STOP_TIMEOUT_S,
             timeout_keep_alive=60,
             ws='none',
-            http='httptools',
+            http=LimitedHttpProtocol,
         )
         self._http_server = uvicorn.Server(cfg)
         metrics_server = await self._serve_metrics(host)
--- a/papayalock/httpclient.py
+++ b/papayalock/httpclient.py
@@ -13,6 +13,8 @@
 
 import httptools
 
+from papayalock.core.buffers import BufferPool
+from papayalock.core.framing import FramingLimit
 from papayalock.progress import ProgressTimer
 from papayalock.result import Code
 
@@ -20,6 +22,7 @@
 PAUSE_BYTES = 65536  # unread body bytes above which reading is paused
 MAX_HEADERS = 100
 MAX_HEAD_BYTES = 65536
+MAX_DISCARDED_BYTES = 1_048_576  # of responses that belong to no call
 CONTINUE = 100
 FIRST_FINAL_STATUS = 200  # lower statuses are interim responses
 Headers = list[tuple[bytes, bytes]]
@@ -112,18 +115,24 @@
         :param limit: maximum size of the body in bytes
         :raises TransportError: when the body is incomplete or exceeds ``limit``
         """
+        buffers = self._conn.buffers or BufferPool(limit * 2)
         pieces = []
         size = 0
-        while piece := await self.read():
-            size += len(piece)
-            if size > limit:
-                self._conn.close()
-                raise TransportError(
-                    Code.MESSAGE_TOO_LARGE,
-                    'response body is too large',
-                    sent=True,
-                )
-            pieces.append(piece)
+        try:
+            while piece := await self.read():
+                if size + len(piece) > limit or not buffers.grow(
+                    size, len(piece)
+                ):
+                    self._conn.close()
+                    raise TransportError(
+                        Code.MESSAGE_TOO_LARGE,
+                        'response body is too large',
+                        sent=True,
+                    )
+                size += len(piece)
+                pieces.append(piece)
+        finally:
+            buffers.release(size)
         return b''.join(pieces)
 
 
@@ -137,8 +146,13 @@
 class ClientConn(asyncio.Protocol):
     """One client connection; after an error it is closed, not reused."""
 
-    def __init__(self) -> None:
-        """Creates a protocol that is not yet connected."""
+    def __init__(self, buffers: BufferPool | None = None) -> None:
+        """Creates a protocol that is not yet connected.
+
+        :param buffers: memory that the bodies of responses share with those
+            of other connections
+        """
+        self.buffers = buffers
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0.0
         self.used = False  # whether it has carried a call
@@ -146,6 +160,8 @@
         self.progress = 0  # number of times that data was received
         self._headers: Headers = []
         self._head_bytes = 0
+        self._framing = FramingLimit(MAX_HEAD_BYTES)
+        self._discarded_bytes = 0
         self._pieces: deque[bytes] = deque()
         self._buffered = 0
         self._complete = True
@@ -278,6 +294,8 @@
         self._discarding = False
         self._headers = []
         self._head_bytes = 0
+        self._framing.restart()
+        self._discarded_bytes = 0
         self.used = True
         self._timer.start(timeout_ms / MS_PER_S)
 
@@ -356,13 +374,22 @@
         if self._complete:
             self.close()
             return
+        self._framing.record_received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
-            code = Code.INCOMPLETE_ANSWER if self._sent else Code.NOT_CONNECTED
-            self._fail(code, f'invalid HTTP response: {exc}')
+            self._fail_response(f'invalid HTTP response: {exc}')
+        if self._framing.exceeded:
+            self._fail_response('head or trailers are too large')
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._fail_response('too many bytes that belong to no call')
         _wake(self._waiter)
 
+    def _fail_response(self, reason: str) -> None:
+        """Fails the call because of the bytes that were received."""
+        code = Code.INCOMPLETE_ANSWER if self._sent else Code.NOT_CONNECTED
+        self._fail(code, reason)
+
     # httptools callbacks
 
     def on_message_begin(self) -> None:
@@ -392,6 +419,7 @@
             return
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
+            self._framing.restart()
             self._got_continue = self._got_continue or status == CONTINUE
             return
         if self._matches_call is not None and not self._matches_call(
@@ -408,7 +436,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffers a piece; pauses reading while the consumer is slow."""
+        self._framing.record_body(len(body))
         if self._discarding or self._surplus:
+            self._discarded_bytes += len(body)
             return
         self._pieces.append(body)
         self._buffered += len(body)
@@ -427,6 +457,7 @@
         if self._discarding:
             self._discarding = False
             self._head_bytes = 0
+            self._framing.restart()
         elif self._response is not None:
             self._complete = True
             self.idle_since = asyncio.get_running_loop().time()
--- a/papayalock/node/agent.py
+++ b/papayalock/node/agent.py
@@ -344,18 +344,11 @@
         if delta.full:
             self._endpoint_store.replace_all(delta.endpoints, now)
         else:
-            self._merge_endpoints(delta, now)
+            _merge_endpoints(self._endpoint_store, delta, now)
         if delta.full or self._epoch:
             self._epoch = delta.epoch
             self._cursor = delta.cursor
 
-    def _merge_endpoints(self, delta: EndpointDelta, now: float) -> None:
-        for endpoint in reversed(delta.endpoints):
-            if endpoint.state == 'left':
-                self._endpoint_store.remove(endpoint.server)
-            else:
-                self._endpoint_store.upsert(endpoint, now)
-
     def _request(self, wait_ms: int) -> SyncReq:
         configuration = self.configuration
         rejected = self._rejected
@@ -405,6 +398,16 @@
             self._notify_listeners()
 
 
+def _merge_endpoints(
+    store: EndpointStore, delta: EndpointDelta, now: float
+) -> None:
+    for endpoint in reversed(delta.endpoints):
+        if endpoint.state == 'left':
+            store.remove(endpoint.server)
+        else:
+            store.upsert(endpoint, now)
+
+
 async def _cancel(tasks: 'Iterable[asyncio.Task[Any]]') -> None:
     for task in tasks:
         task.cancel()
--- a/papayalock/node/finder.py
+++ b/papayalock/node/finder.py
@@ -14,6 +14,7 @@
 from papayalock.node.hostagent import HostAgent
 from papayalock.pool import Pool
 from papayalock.ports import Clock
+from papayalock.result import Code
 from papayalock.settings import HostSettings
 
 log = logging.getLogger(__name__)
@@ -21,6 +22,7 @@
 CONFIGURATION_CHECK_S = 0.02
 MAX_TRIES = 3
 TRY_INTERVAL_S = 0.3
+MS_PER_S = 1000
 HEALTH_TIMEOUT_MS = 250
 MAX_HEALTH_BYTES = 65536
 FALLBACK_SLOTS = 2  # when no endpoint of the service has a slot count
@@ -81,8 +83,13 @@
     async def _exchange(self, address: str, req: Request) -> Response:
         conn = await self._pool.acquire(address)
         try:
-            response = await conn.call(req, HEALTH_TIMEOUT_MS)
-            await response.read_all(MAX_HEALTH_BYTES)
+            async with asyncio.timeout(HEALTH_TIMEOUT_MS / MS_PER_S):
+                response = await conn.call(req, HEALTH_TIMEOUT_MS)
+                await response.read_all(MAX_HEALTH_BYTES)
+        except TimeoutError as exc:
+            raise TransportError(
+                Code.UNKNOWN_TIMEOUT, 'no complete response in time', sent=True
+            ) from exc
         finally:
             # A late second copy of the response names no call.
             conn.close()
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -20,9 +20,9 @@
 from papayalock.node.lag import LoopLag
 from papayalock.node.listener import HttpServer, ServerLimits
 from papayalock.node.outbound import OutboundProxy
+from papayalock.node.pools import NodePools
 from papayalock.node.shutdown import Shutdown, install_stop_signals
 from papayalock.node.slotqueue import SlotQueue
-from papayalock.pool import Pool
 from papayalock.reload import SettingsWatcher
 from papayalock.settings import Settings
 
@@ -30,7 +30,6 @@
 
 MS_PER_S = 1000
 HEARTBEATS_PER_LEASE = 4
-POOLED_PER_ADDRESS = 64
 SWEEP_INTERVAL_S = 0.25
 OK = 200
 UNAVAILABLE = 503
@@ -48,12 +47,7 @@
         rng = random.Random()
         address = settings.advertise or settings.listen
         self._clock = clock
-        self.hop_pool = Pool(
-            hosts.connect_ms, settings.relay.idle_ms, POOLED_PER_ADDRESS
-        )
-        self.backend_pool = Pool(
-            hosts.connect_ms, settings.relay.idle_ms, POOLED_PER_ADDRESS
-        )
+        pools = NodePools(settings)
         self.backend_monitor = BackendMonitor(
             HEARTBEATS_PER_LEASE * settings.membership.announce_ms,
             hosts.drain_ms,
@@ -69,7 +63,7 @@
             self.control_selector,
             self.backend_monitor,
             self.placement,
-            Pool(hosts.connect_ms, settings.relay.idle_ms, 2),
+            pools.control,
             clock,
             rng,
             poll_ms=settings.distribution.poll_ms,
@@ -82,7 +76,7 @@
             self.backend_monitor,
             SlotQueue[Job](gate, clock),
             gate,
-            self.backend_pool,
+            pools.backend,
             dialects.calls,
             clock,
             hosts.alive_ms,
@@ -92,7 +86,7 @@
             settings,
             self.agent,
             self.inbound,
-            self.hop_pool,
+            pools.hop,
             dialects.calls,
             clock,
             self.metrics,
@@ -125,6 +119,13 @@
             self.announcement_handler.handle, internal_limits
         )
         self.metrics_server = HttpServer(self.metrics.handle, internal_limits)
+        self._servers = (
+            self.caller_server,
+            self.hop_server,
+            self.ready_server,
+            self.announce_server,
+            self.metrics_server,
+        )
         self.shutdown = Shutdown(
             self.agent,
             self.outbound,
@@ -137,7 +138,7 @@
             self.agent,
             self.inbound.notices,
             dialects.calls,
-            self.backend_pool,
+            pools.backend,
             clock,
             hosts,
         )
@@ -218,7 +219,8 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.lag.record_run(self._clock.monotonic())
-            self.caller_server.close_expired(loop.time())
+            for server in self._servers:
+                server.close_expired(loop.time())
             self.inbound.update_slots()
 
 
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -45,6 +45,8 @@
 CALLEE_FAILED_HEADER = b'papayalock-callee-failed'
 MAX_RESPONSE_BYTES = 16_777_216  # larger responses are not forwarded
 SERVICE_UNAVAILABLE = 503
+# Time after its deadline in which a server may still complete its response.
+LAST_RESPONSE_S = 0.25
 # Event loop lag from which on a caller may have cancelled its call unnoticed.
 LOOP_STALL_MS = 100
 # Passes of the event loop after which a closed connection has been noticed.
@@ -257,16 +259,23 @@
         sent_at = self._clock.monotonic()
         reusable = False
         try:
-            response = await conn.call(
-                req,
-                remaining_ms,
-                matches_call=lambda headers: self._dialect.matches_call(
-                    headers, order.call
-                ),
-            )
-            self.notices.record_response(serving, response, sent_at)
-            body = await response.read_all(MAX_RESPONSE_BYTES)
+            async with asyncio.timeout(
+                remaining_ms / MS_PER_S + LAST_RESPONSE_S
+            ):
+                response = await conn.call(
+                    req,
+                    remaining_ms,
+                    matches_call=lambda headers: self._dialect.matches_call(
+                        headers, order.call
+                    ),
+                )
+                self.notices.record_response(serving, response, sent_at)
+                body = await response.read_all(MAX_RESPONSE_BYTES)
             reusable = self._dialect.names_call(response.headers)
+        except TimeoutError as exc:
+            raise TransportError(
+                Code.UNKNOWN_TIMEOUT, 'no complete response in time', sent=True
+            ) from exc
         finally:
             if reusable:
                 self._pool.release(serving.address, conn)
--- a/papayalock/node/listener.py
+++ b/papayalock/node/listener.py
@@ -7,12 +7,14 @@
 
 import httptools
 
+from papayalock.core.framing import FramingLimit
 from papayalock.node.http import Call, Reply
 from papayalock.result import Code
 
 log = logging.getLogger(__name__)
 
 MAX_HEADERS = 100
+HEADER_TIMEOUT_S = 10.0  # until a configuration states another one
 STOP_POLL_S = 0.01
 Handler = Callable[[Call, Reply], Awaitable[None]]
 
@@ -41,7 +43,7 @@
         :param pipelined: calls of one connection that run concurrently
         """
         self.pipelined = pipelined
-        self.header_s = float('inf')
+        self.header_s = HEADER_TIMEOUT_S
         self.idle_s = float('inf')
         self.header_bytes = header_bytes
         self.body_bytes = body_bytes
@@ -167,6 +169,7 @@
         self._call = Call()
         self._head_bytes = 0
         self._head_complete = False
+        self._framing = FramingLimit(server.limits.header_bytes)
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._replies: deque[PendingReply] = deque()
@@ -267,6 +270,7 @@
         """Feeds the parser; unreadable requests are refused."""
         if self._refused or self._no_more_calls:
             return
+        call = self._call
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -276,6 +280,10 @@
             httptools.HttpParserCallbackError,
         ) as exc:
             self._refuse(Code.BAD_REQUEST, f'unreadable request: {exc}')
+        if self._call is call and self._head_bytes:
+            self._framing.record_received(len(data))
+            if self._framing.exceeded:
+                self._refuse(Code.TOO_LARGE, 'head or trailers are too large')
 
     # Callbacks of the parser.
 
@@ -284,6 +292,7 @@
         self._call = Call()
         self._head_bytes = 1
         self._head_complete = False
+        self._framing = FramingLimit(self._server.limits.header_bytes)
         self._last_activity = asyncio.get_running_loop().time()
         self._body = []
         self._body_bytes = 0
@@ -318,6 +327,7 @@
         """Collects a piece of the body, within the limits."""
         self._last_activity = asyncio.get_running_loop().time()
         self._body_bytes += len(body)
+        self._framing.record_body(len(body))
         if self._body_bytes > self._server.limits.body_bytes:
             self._refuse(Code.TOO_LARGE, 'body is too large')
         else:
--- a/papayalock/pool.py
+++ b/papayalock/pool.py
@@ -2,23 +2,30 @@
 
 import asyncio
 import contextlib
+import functools
 
+from papayalock.core.buffers import BufferPool
 from papayalock.httpclient import MS_PER_S, ClientConn, Request, TransportError
 from papayalock.result import Code
 
 
-async def connect(address: str, timeout_ms: int) -> ClientConn:
+async def connect(
+    address: str, timeout_ms: int, buffers: BufferPool | None = None
+) -> ClientConn:
     """Opens a connection.
 
     :param address: IP and port of the server
     :param timeout_ms: maximum time for opening it
+    :param buffers: memory for bodies that it shares with other connections
     :raises TransportError: ``NOT_CONNECTED`` when it cannot be opened in time
     """
     host, _, port = address.rpartition(':')
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_ms / MS_PER_S):
-            _, conn = await loop.create_connection(ClientConn, host, int(port))
+            _, conn = await loop.create_connection(
+                functools.partial(ClientConn, buffers), host, int(port)
+            )
     except (OSError, TimeoutError, ValueError) as exc:
         raise TransportError(
             Code.NOT_CONNECTED, f'{address}: {exc}', sent=False
@@ -29,13 +36,21 @@
 class Pool:
     """Keeps idle connections for reuse, by server address."""
 
-    def __init__(self, connect_ms: int, idle_ms: int, per_address: int) -> None:
+    def __init__(
+        self,
+        connect_ms: int,
+        idle_ms: int,
+        per_address: int,
+        buffers: BufferPool | None = None,
+    ) -> None:
         """Creates an empty pool.
 
         :param connect_ms: maximum time for opening a connection
         :param idle_ms: idle time after which a connection isn't reused
         :param per_address: maximum number of idle connections per address
+        :param buffers: memory that the bodies of responses share
         """
+        self._buffers = buffers
         self._connect_ms = connect_ms
         self._idle_s = idle_ms / MS_PER_S
         self._max_idle = per_address
@@ -55,7 +70,7 @@
             if conn.reusable and now - conn.idle_since < self._idle_s:
                 return conn
             conn.close()
-        return await connect(address, self._connect_ms)
+        return await connect(address, self._connect_ms, self._buffers)
 
     def release(self, address: str, conn: ClientConn) -> None:
         """Returns a connection to the pool, or closes it if not reusable."""
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -190,6 +190,14 @@
     silence_ms: Annotated[int, Meta(ge=20, le=600000)]
     connect_ms: Annotated[int, Meta(ge=10, le=60000)]
     candidates: Annotated[int, Meta(ge=1, le=64)]
+    buffer_bytes: Annotated[
+        int,
+        Meta(
+            description='Memory for the response bodies that are being received.',
+            ge=65536,
+            le=1073741824,
+        ),
+    ]
 
 
 class MetricsSettings(Struct):
