Hold the weights of a split route over all nodes from the first call on

What callers saw: each node began a split route with the same service, so the first calls of 77 or 188 nodes, most of the calls in the first seconds of a route, went to one of them: with weights 40 and 60 the first call of every node went to the second service (share 0.00 of 0.40), with 10 and 90 none of the first four. A service without servers, leaving or cut off kept its share, and these calls were refused.

Each node now starts at a random point of the sequence. The share of a service that cannot be reached (no ready server, or all of them unresponsive) goes to the others and isn't owed to it later; one that is only full keeps its share, as its calls are refused. With all weights 0 a call is refused at once.

--- a/papayalock/core/hostroutes.py
+++ b/papayalock/core/hostroutes.py
@@ -1,10 +1,13 @@
 """Matches calls to host routes and splits their traffic between services."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from papayalock.core.partnames import LIMITS_PART, policy_of, route_of
 from papayalock.messages import CallerLimits, HostRoute, Part, ServicePolicy
+from papayalock.ports import Random
+
+MAX_SKIPPED_TURNS = 100  # the sequence for weights in percent is that long
 
 
 class HostIndex:
@@ -121,26 +124,72 @@
     service its weight, then the service with the most credit is chosen and
     the sum of the weights is subtracted from its credit. The shares of any
     sequence of calls stay within one call of the weights.
+
+    Each node starts at a random point of that sequence. Otherwise all nodes
+    would send their first calls to the same service, and with many nodes these
+    are most of the calls in the first seconds of a route.
     """
 
-    __slots__ = ('_credits',)
+    __slots__ = ('_credits', '_is_reachable', '_rng')
 
-    def __init__(self) -> None:
-        """Starts without credit."""
+    def __init__(
+        self, rng: Random, is_reachable: Callable[[str, float], bool]
+    ) -> None:
+        """Starts without credit.
+
+        :param is_reachable: whether a service has a server that may take a
+            call at a time, in monotonic seconds
+        """
         self._credits: dict[str, dict[str, float]] = {}
+        self._rng = rng
+        self._is_reachable = is_reachable
+
+    def choose(self, route: HostRoute, now: float) -> str:
+        """Returns the service for the next call of a route, '' for none.
 
-    def choose(self, route: HostRoute) -> str:
-        """Returns the service for the next call of a route."""
+        The share of a service that cannot be reached goes to the others. A
+        service that is only full keeps its share: its calls are refused.
+        """
         if len(route.shares) == 1:
             return route.shares[0].service
-        weights = {share.service: share.weight for share in route.shares}
-        total = sum(weights.values())
-        previous = self._credits.get(route.name, {})
-        updated = {
-            name: previous.get(name, 0.0) + weight
-            for name, weight in weights.items()
-        }
-        service = max(updated, key=lambda name: (updated[name], name))
-        updated[service] -= total
-        self._credits[route.name] = updated
+        weights = self._usable_weights(route, now)
+        if not weights:
+            return ''
+        previous = self._credits.get(route.name)
+        if previous is None:
+            previous = self._random_credits(weights)
+        service, credits = _next_in_turn(weights, previous)
+        self._credits[route.name] = credits
         return service
+
+    def _usable_weights(self, route: HostRoute, now: float) -> dict[str, float]:
+        weights = {
+            share.service: share.weight
+            for share in route.shares
+            if share.weight
+        }
+        reachable = {
+            service: weight
+            for service, weight in weights.items()
+            if self._is_reachable(service, now)
+        }
+        return reachable or weights
+
+    def _random_credits(self, weights: dict[str, float]) -> dict[str, float]:
+        credits: dict[str, float] = {}
+        for _ in range(self._rng.randrange(MAX_SKIPPED_TURNS)):
+            _, credits = _next_in_turn(weights, credits)
+        return credits
+
+
+def _next_in_turn(
+    weights: dict[str, float], previous: dict[str, float]
+) -> tuple[str, dict[str, float]]:
+    """Returns the service whose turn it is, and the credits afterwards."""
+    credits = {
+        name: previous.get(name, 0.0) + weight
+        for name, weight in weights.items()
+    }
+    service = max(credits, key=lambda name: (credits[name], name))
+    credits[service] -= sum(weights.values())
+    return service, credits
--- a/papayalock/core/placement.py
+++ b/papayalock/core/placement.py
@@ -91,6 +91,16 @@
         """Returns whether a service has a ready server not in ``avoid``."""
         return bool(self._untried(service, avoid))
 
+    def is_reachable(self, service: str, now: float) -> bool:
+        """Returns whether a service has a server that may take a call.
+
+        One that only refuses calls, since it is full, can be reached.
+        """
+        return any(
+            server.backoff_until <= now or not server.failures
+            for server in self.ready(service)
+        )
+
     def _untried(
         self, service: str, avoid: frozenset[str]
     ) -> list[KnownServer]:
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -92,6 +92,7 @@
             self.metrics,
             self.lag,
             gate.shutdown_times,
+            rng,
         )
         self.announcement_handler = AnnouncementHandler(
             dialects.announcements,
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -17,7 +17,7 @@
 from papayalock.node.outcome import NoResponse, Outcome, ServerResponse
 from papayalock.node.tryrunner import TryRunner
 from papayalock.pool import Pool
-from papayalock.ports import Clock
+from papayalock.ports import Clock, Random
 from papayalock.result import Code
 from papayalock.settings import Settings
 
@@ -43,6 +43,7 @@
         metrics: HostMetrics,
         lag: LoopLag,
         shutdown_times: ShutdownTimes,
+        rng: Random,
     ) -> None:
         """Starts without calls."""
         self._settings = settings
@@ -55,7 +56,7 @@
         )
         self._dialect = dialect
         self._clock = clock
-        self._splitter = TrafficSplitter()
+        self._splitter = TrafficSplitter(rng, self._placement.is_reachable)
         self._budgets: dict[str, SharedBudget] = {}
         self._usual_deadline_ms: dict[str, int] = {}
         self._access_log = AccessLog(
@@ -123,7 +124,7 @@
             metadata=metadata,
             arrived_at=now,
             route=route,
-            service=self._splitter.choose(route),
+            service=self._splitter.choose(route, now),
             deadline_at=now + remaining_ms / MS_PER_S,
             target_at=now + (route.target_ms - spent_ms) / MS_PER_S,
             returning=caller_deadline_ms < usual_ms * RETURNING_DEADLINE_SHARE,
--- a/test/hostmesh.py
+++ b/test/hostmesh.py
@@ -169,6 +169,7 @@
             NoMetrics(),
             LoopLag(SWEEP_S),
             self.gate.shutdown_times,
+            random.Random(number),
         )
         limits = ServerLimits(65536, 65536, 4096)
         mesh.gates[self.address] = HttpServer(self.inbound.handle, limits)
--- a/test/test_hostroutes.py
+++ b/test/test_hostroutes.py
@@ -97,25 +97,72 @@
         assert hosts.match('a.example', '/a') is None
 
 
+def new_splitter(*unreachable: str, seed: int = 1) -> TrafficSplitter:
+    return TrafficSplitter(
+        random.Random(seed), lambda service, _: service not in unreachable
+    )
+
+
 class TestSplit:
     def test_shares_stay_within_one_call_of_the_weights(self):
         split = route(shares=[Share('floor', 70), Share('lots', 30)])
-        splitter = TrafficSplitter()
+        splitter = new_splitter()
         chosen = []
         for count in range(1, 201):
-            chosen.append(splitter.choose(split))
+            chosen.append(splitter.choose(split, 0))
             assert abs(chosen.count('floor') - 0.7 * count) <= 1
 
     def test_service_of_weight_zero_gets_no_calls(self):
         split = route(shares=[Share('floor', 0), Share('lots', 3)])
-        splitter = TrafficSplitter()
-        assert {splitter.choose(split) for _ in range(20)} == {'lots'}
+        splitter = new_splitter()
+        assert {splitter.choose(split, 0) for _ in range(20)} == {'lots'}
 
     def test_changed_weights_apply_at_once(self):
-        splitter = TrafficSplitter()
+        splitter = new_splitter()
         before = route(shares=[Share('floor', 9), Share('lots', 1)])
         for _ in range(50):
-            splitter.choose(before)
+            splitter.choose(before, 0)
         after = route(shares=[Share('floor', 1), Share('lots', 1)])
-        chosen = [splitter.choose(after) for _ in range(40)]
+        chosen = [splitter.choose(after, 0) for _ in range(40)]
         assert abs(chosen.count('floor') - 20) <= 1
+
+    @pytest.mark.parametrize('calls', [1, 2, 3, 4])
+    @pytest.mark.parametrize('weight', [10, 40, 50, 75])
+    def test_the_first_calls_of_many_nodes_have_the_weights(
+        self, calls, weight
+    ):
+        split = route(
+            shares=[Share('floor', weight), Share('lots', 100 - weight)]
+        )
+        nodes = [new_splitter(seed=seed) for seed in range(188)]
+        chosen = [node.choose(split, 0) for node in nodes for _ in range(calls)]
+        assert abs(chosen.count('floor') / len(chosen) - weight / 100) < 0.1
+
+    def test_share_of_an_unreachable_service_goes_to_the_others(self):
+        shares = [Share('floor', 60), Share('lots', 20), Share('yard', 20)]
+        splitter = new_splitter('floor')
+        chosen = [splitter.choose(route(shares=shares), 0) for _ in range(40)]
+        assert abs(chosen.count('lots') - 20) <= 1
+        assert abs(chosen.count('yard') - 20) <= 1
+
+    def test_a_service_that_returns_gets_no_more_than_its_share(self):
+        reachable = {'lots'}
+        splitter = TrafficSplitter(
+            random.Random(1), lambda service, _: service in reachable
+        )
+        split = route(shares=[Share('floor', 50), Share('lots', 50)])
+        for _ in range(100):
+            assert splitter.choose(split, 0) == 'lots'
+        reachable.add('floor')
+        chosen = [splitter.choose(split, 0) for _ in range(40)]
+        assert abs(chosen.count('floor') - 20) <= 1
+
+    def test_weights_hold_while_no_service_can_be_reached(self):
+        split = route(shares=[Share('floor', 75), Share('lots', 25)])
+        splitter = new_splitter('floor', 'lots')
+        chosen = [splitter.choose(split, 0) for _ in range(40)]
+        assert abs(chosen.count('floor') - 30) <= 1
+
+    def test_without_any_weight_no_service_is_chosen(self):
+        split = route(shares=[Share('floor', 0), Share('lots', 0)])
+        assert new_splitter().choose(split, 0) == ''
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -132,6 +132,7 @@
             NoMetrics(),
             LoopLag(0.25),
             self.shutdown_times,
+            random.Random(1),
         )
 
     async def call(self, deadline_ms: int = 1000, body: bytes = b''):
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -125,6 +125,26 @@
             adapter.read(body)
         assert adapter.error_status(caught.value.code) == 400
 
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'service': 'floor'},
+            {'traffic_split': []},
+            {'traffic_split': [], 'service': ''},
+        ],
+    )
+    def test_a_route_with_both_or_neither_of_service_and_split_is_invalid(
+        self, change
+    ):
+        split = next(
+            one for one in CONFIG['routes'] if one.get('traffic_split')
+        )
+        config = {**CONFIG, 'routes': [{**split, **change}]}
+        with pytest.raises(PapayalockError) as caught:
+            FleetOperator().read(json.dumps(config).encode())
+        assert caught.value.code == Code.INVALID
+        assert split['name'] in str(caught.value)
+
     def test_a_missing_leader_is_a_server_error(self):
         assert FleetOperator().error_status(Code.NO_LEADER) == 503
 
