Keep the list of ready servers of a service between calls

It now changes with the endpoints and with what servers state. Existing tests cover endpoints that come, drain and go and notices that change.

--- a/papayalock/core/directory.py
+++ b/papayalock/core/directory.py
@@ -46,6 +46,8 @@
         self.notices = ServerNotices()
         self._by_service: dict[str, dict[str, KnownServer]] = {}
         self._addresses: Counter[str] = Counter()
+        self._ready: dict[str, list[KnownServer]] = {}
+        self._ready_revision = 0
 
     def upsert(self, endpoint: Endpoint, now: float) -> None:
         """Adds or updates an announced endpoint.
@@ -66,6 +68,7 @@
         server = self.servers.pop(name, None)
         if server is None:
             return
+        self._ready.clear()
         endpoint = server.endpoint
         del self._by_service[endpoint.service][name]
         self._addresses[endpoint.address] -= 1
@@ -104,6 +107,16 @@
 
     def ready(self, service: str) -> list[KnownServer]:
         """Returns the servers of a service that accept calls."""
+        if self._ready_revision != self.notices.revision:
+            self._ready_revision = self.notices.revision
+            self._ready.clear()
+        ready = self._ready.get(service)
+        if ready is None:
+            ready = self._find_ready(service)
+            self._ready[service] = ready
+        return ready
+
+    def _find_ready(self, service: str) -> list[KnownServer]:
         return [
             server
             for server in self._by_service.get(service, {}).values()
@@ -112,6 +125,7 @@
         ]
 
     def _add(self, server: KnownServer) -> None:
+        self._ready.clear()
         endpoint = server.endpoint
         self.servers[endpoint.server] = server
         by_name = self._by_service.setdefault(endpoint.service, {})
--- a/papayalock/core/servernotices.py
+++ b/papayalock/core/servernotices.py
@@ -25,11 +25,12 @@
     server, and what the server stated holds until its own next start.
     """
 
-    __slots__ = ('_heard',)
+    __slots__ = ('_heard', 'revision')
 
     def __init__(self) -> None:
         """Starts without notices."""
         self._heard: dict[str, HeardNotice] = {}
+        self.revision = 0  # number of changes
 
     def find(self, endpoint: Endpoint) -> ServerNotice:
         """Returns what a server stated since its start."""
@@ -65,11 +66,17 @@
             leaving = notice.leaving or known.notice.leaving
             notice = ServerNotice(limit=notice.limit, leaving=leaving)
         self._heard.pop(server, None)
+        heard = HeardNotice(born_ms or known.born_ms, notice, now)
+        if known is UNHEARD and notice == NOTHING:
+            return
+        if (heard.born_ms, notice) != (known.born_ms, known.notice):
+            self.revision += 1
         if notice == NOTHING:
             return
-        self._heard[server] = HeardNotice(born_ms or known.born_ms, notice, now)
+        self._heard[server] = heard
         if len(self._heard) > MAX_REMEMBERED:
             self._heard.pop(next(iter(self._heard)))
+            self.revision += 1
 
 
 UNHEARD = HeardNotice(0, NOTHING, float('-inf'))
