--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -80,11 +80,12 @@
 class ServiceTimes:
     """Smoothed service times of one server, per route and overall."""
 
-    __slots__ = ('_by_route', 'overall')
+    __slots__ = ('_by_route', '_shortest', 'overall')
 
     def __init__(self) -> None:
         """Starts with the default."""
         self._by_route: dict[str, float] = {}
+        self._shortest = DEFAULT_SERVICE_S
         self.overall = DEFAULT_SERVICE_S
 
     def record(self, route: str, service_s: float) -> None:
@@ -99,6 +100,7 @@
                 service_s - average
             )
         self.overall += SERVICE_SMOOTHING * (service_s - self.overall)
+        self._shortest = max(MIN_SERVICE_S, min(self._by_route.values()))
 
     def length(self, route: str) -> int:
         """Returns how much longer a route is than the shortest one.
@@ -106,10 +108,7 @@
         :returns: 0 below ``LONG_CALL_RATIO`` times, 1 below its square and
             so on
         """
-        if not self._by_route:
-            return 0
-        shortest = max(MIN_SERVICE_S, min(self._by_route.values()))
-        ratio = max(1.0, self.expected(route) / shortest)
+        ratio = max(1.0, self.expected(route) / self._shortest)
         return int(math.log(ratio, LONG_CALL_RATIO))
 
     def expected(self, route: str) -> float:
