Take back short calls before long ones of the same priority

Callers lose more than they gain, and a less urgent kind is put before a more urgent one.

The fault stays: one call in eight fails at load 1.2 after its server has begun it, since a call that the server makes is refused.

--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -10,7 +10,6 @@
 import itertools
 import math
 from dataclasses import dataclass
-from typing import NamedTuple
 
 from papayalock.core.gate import AdmissionResult, Queued, Shed, Started
 from papayalock.core.ratelimit import RateLimit
@@ -21,7 +20,6 @@
 MS_PER_S = 1000
 SERVICE_SMOOTHING = 0.08  # weight of the newest service time in its average
 FAILURE_SMOOTHING = 0.15  # weight of the newest outcome in the failing share
-MIN_SERVICE_S = 0.001  # of the shortest route, when lengths are compared
 DEFAULT_SERVICE_S = 0.1  # service time assumed until the first call ends
 MIN_RETRY_AFTER_MS = 20
 MAX_QUEUED = 512
@@ -33,18 +31,6 @@
 SERVICE_MARGIN = 0.5  # allowance for calls slower than the mean, in means
 
 
-class Urgency(NamedTuple):
-    """What makes a call more urgent than another; the lower goes first.
-
-    Short calls often come from servers that hold a slot of their own while
-    they wait. If they queued behind long calls of their priority, the slots of
-    both services would stand idle, and the calls that need them would fail.
-    """
-
-    priority: int
-    length: int = 0  # how often LONG_CALL_RATIO fits into the service time
-
-
 @dataclass(slots=True, eq=False)
 class Job:
     """A call that needs a slot of the server.
@@ -80,12 +66,11 @@
 class ServiceTimes:
     """Smoothed service times of one server, per route and overall."""
 
-    __slots__ = ('_by_route', '_shortest', 'overall')
+    __slots__ = ('_by_route', 'overall')
 
     def __init__(self) -> None:
         """Starts with the default."""
         self._by_route: dict[str, float] = {}
-        self._shortest = DEFAULT_SERVICE_S
         self.overall = DEFAULT_SERVICE_S
 
     def record(self, route: str, service_s: float) -> None:
@@ -100,16 +85,6 @@
                 service_s - average
             )
         self.overall += SERVICE_SMOOTHING * (service_s - self.overall)
-        self._shortest = max(MIN_SERVICE_S, min(self._by_route.values()))
-
-    def length(self, route: str) -> int:
-        """Returns how much longer a route is than the shortest one.
-
-        :returns: 0 below ``LONG_CALL_RATIO`` times, 1 below its square and
-            so on
-        """
-        ratio = max(1.0, self.expected(route) / self._shortest)
-        return int(math.log(ratio, LONG_CALL_RATIO))
 
     def expected(self, route: str) -> float:
         """Returns the expected service time of a call of a route."""
@@ -117,17 +92,17 @@
 
 
 class PriorityUsage:
-    """Recent slot time and calls by urgency, with exponential decay."""
+    """Recent slot time and calls of each priority, with exponential decay."""
 
     __slots__ = ('_at', '_calls', '_used')
 
     def __init__(self) -> None:
         """Starts without usage."""
-        self._used: dict[Urgency, float] = {}
-        self._calls: dict[Urgency, float] = {}
+        self._used: dict[int, float] = {}
+        self._calls: dict[int, float] = {}
         self._at = 0.0
 
-    def record(self, urgency: Urgency, service_s: float, now: float) -> None:
+    def record(self, priority: int, service_s: float, now: float) -> None:
         """Adds the slot time of a finished call."""
         decay = math.exp((self._at - now) / USAGE_DECAY_S)
         self._used = {other: used * decay for other, used in self._used.items()}
@@ -135,23 +110,21 @@
             other: calls * decay for other, calls in self._calls.items()
         }
         self._at = now
-        self._used[urgency] = self._used.get(urgency, 0.0) + service_s
-        self._calls[urgency] = self._calls.get(urgency, 0.0) + 1
+        self._used[priority] = self._used.get(priority, 0.0) + service_s
+        self._calls[priority] = self._calls.get(priority, 0.0) + 1
 
     def share_left(self, priority: int) -> float:
-        """Returns the share of the slot time not used by higher priorities."""
+        """Returns the share of the slot time not used by more urgent calls."""
         total = sum(self._used.values())
         if not total:
             return 1.0
         above = sum(
-            used
-            for other, used in self._used.items()
-            if other.priority < priority
+            used for other, used in self._used.items() if other < priority
         )
         return 1.0 - above / total
 
     def short_call_slots(
-        self, urgency: Urgency, service_s: float, now: float
+        self, priority: int, service_s: float, now: float
     ) -> float:
         """Returns the slots in use by much shorter, more urgent calls.
 
@@ -161,7 +134,7 @@
         return decay * sum(
             used
             for other, used in self._used.items()
-            if other < urgency
+            if other < priority
             and used * LONG_CALL_RATIO < service_s * self._calls[other]
         )
 
@@ -219,7 +192,7 @@
         """Frees the slot of a call, or removes it from the queue."""
         if job in self.running:
             self.running.discard(job)
-            self.usage.record(self._urgency(job), now - job.started, now)
+            self.usage.record(job.priority, now - job.started, now)
             if job.served:
                 self.service_times.record(job.route, now - job.started)
         elif job in self._waiting:
@@ -329,12 +302,11 @@
         if len(self.running) >= self.slots:
             return False
         service = self.service_times.expected(job.route)
-        urgency = self._urgency(job)
         reserved = RESERVED_RATIO * self.usage.short_call_slots(
-            urgency, service, now
+            job.priority, service, now
         )
         equal_or_below = sum(
-            self._urgency(other) >= urgency for other in self.running
+            other.priority >= job.priority for other in self.running
         )
         return not equal_or_below or equal_or_below < self.slots - reserved
 
@@ -383,22 +355,12 @@
         """Returns the sort key of a queued call; the lowest goes first.
 
         The order is by priority, then by whether the call can still meet its
-        latency objective, then short calls before long ones, then callers that
-        were refused before, then age.
+        latency objective, then callers that were refused before, then age.
         """
         misses_target = job.target_at - now < self.service_times.expected(
             job.route
         )
-        return (
-            job.priority,
-            misses_target,
-            self.service_times.length(job.route),
-            not job.returning,
-            job.sequence,
-        )
-
-    def _urgency(self, job: Job) -> Urgency:
-        return Urgency(job.priority, self.service_times.length(job.route))
+        return (job.priority, misses_target, not job.returning, job.sequence)
 
     def _start(self, job: Job, now: float) -> None:
         job.started = now
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 
-from papayalock.core.admission import Job, ServerGate, Urgency
+from papayalock.core.admission import Job, ServerGate
 from papayalock.core.gate import Queued, Shed, Started
 from papayalock.result import Code
 
@@ -75,60 +75,6 @@
         assert server_gate.start_queued(0.05) == [returning_job]
 
 
-class TestLengthsOfOnePriority:
-    """Calls that servers make wait beside long calls of their priority."""
-
-    def gate(self, slots: int) -> ServerGate:
-        server_gate = ServerGate()
-        server_gate.slots = slots
-        for route, service_s in (
-            ('short', 0.05),
-            ('long', 0.4),
-            ('similar', 0.3),
-        ):
-            known = job(route=route)
-            server_gate.submit(known, 0)
-            known.served = True
-            server_gate.finish(known, service_s)
-        return server_gate
-
-    def test_a_short_call_goes_before_a_long_one_that_came_earlier(self):
-        server_gate = self.gate(slots=1)
-        running = job(route='long')
-        server_gate.submit(running, 1)
-        long_call = job(now=1, route='long', target=0.9)
-        short_call = job(now=1, route='short', target=0.5)
-        server_gate.submit(long_call, 1)
-        assert isinstance(server_gate.submit(short_call, 1), Queued)
-        server_gate.finish(running, 1.1)
-        assert server_gate.start_queued(1.1) == [short_call]
-
-    def test_long_calls_leave_slots_to_short_ones(self):
-        server_gate = self.gate(slots=6)
-        for _ in range(40):
-            server_gate.usage.record(Urgency(2), 0.05, 1)
-        results = [
-            server_gate.submit(
-                job(now=1, route='long', target=9, deadline_at=9), 1
-            )
-            for _ in range(6)
-        ]
-        assert [type(result) for result in results].count(Started) == 3
-        short_call = job(now=1, route='short')
-        assert isinstance(server_gate.submit(short_call, 1), Started)
-
-    def test_calls_of_similar_length_keep_their_order(self):
-        server_gate = self.gate(slots=1)
-        running = job(route='long')
-        server_gate.submit(running, 1)
-        first = job(now=1, route='long', target=9, deadline_at=10)
-        second = job(now=1, route='similar', target=9, deadline_at=10)
-        server_gate.submit(first, 1)
-        server_gate.submit(second, 1)
-        server_gate.finish(running, 1.1)
-        assert server_gate.start_queued(1.1) == [first]
-
-
 class TestShortUrgentCalls:
     """Long calls beside short, more urgent ones that other servers wait for."""
 
@@ -175,9 +121,9 @@
     server_gate = gate(slots=slots, service_s=0.2)
     server_gate.service_times.record('long', 0.2)
     server_gate.service_times.record('short', service_s)
-    server_gate.usage.record(Urgency(1), 0, 0)
+    server_gate.usage.record(1, 0, 0)
     for _ in range(int(in_use / service_s)):
-        server_gate.usage.record(Urgency(1), service_s, 0)
+        server_gate.usage.record(1, service_s, 0)
     return server_gate
 
 
