--- a/test/test_anyzone.py
+++ b/test/test_anyzone.py
@@ -87,6 +87,19 @@
     return run(run_scenario())
 
 
+def attach_servers(harness: DistributorHarness, *services: str) -> None:
+    """Has the distributor know one server of each service."""
+    for service in services:
+        server = Endpoint(
+            server=f'i-{service}',
+            service=service,
+            zone='z1',
+            address='n:1',
+            incarnation=1,
+        )
+        harness.distributor.table.attach(server, 0)
+
+
 class TestRestartedNodes:
     def test_a_node_of_any_zone_gets_the_newest_version_after_a_proof(self):
         async def scenario(harness):
@@ -171,17 +184,7 @@
         """
 
         async def scenario(harness):
-            for service in ('floor', 'spare'):
-                harness.distributor.table.attach(
-                    Endpoint(
-                        server=f'i-{service}',
-                        service=service,
-                        zone='z1',
-                        address='n:1',
-                        incarnation=1,
-                    ),
-                    0,
-                )
+            attach_servers(harness, 'floor', 'spare')
             info = harness.group.machine.versions[-1]
             scope = harness.distributor._source.scope(info, '', ())
             await harness.group.propose(Publish(route_set=change))
@@ -212,17 +215,7 @@
 
     def test_only_endpoints_of_routed_services_are_sent(self):
         async def scenario(harness):
-            for service in ('floor', 'unrouted'):
-                harness.distributor.table.attach(
-                    Endpoint(
-                        server=f'i-{service}',
-                        service=service,
-                        zone='z1',
-                        address='n:1',
-                        incarnation=1,
-                    ),
-                    0,
-                )
+            attach_servers(harness, 'floor', 'unrouted')
             reply = await harness.sync()
             return [endpoint.server for endpoint in reply.endpoints.endpoints]
 
