Count only refused proofs in a row towards an unproven version

What callers could see: after a restart beside busy control VMs, routes of an older version for about a second, although a quorum was in reach.

Cause: HostAgent counted all refused polls since its start, also busy answers (a herd of returning nodes) and those before a control VM had answered. The count has a meaning only before the node's first version; a running node never takes an unproven one.

--- a/papayalock/node/hostagent.py
+++ b/papayalock/node/hostagent.py
@@ -76,7 +76,7 @@
         self.placement = placement
         self._control_selector = control_selector
         self._polled_address = ''
-        self._refused_polls = 0
+        self._unproven_refusals = 0  # since the last poll that was answered
         self._backend_was_lost = True
         self._state_revision = 0
         self._reported_revision = 0
@@ -146,8 +146,9 @@
             self._apply_endpoints(res.endpoints)
         self.placement.drop_unlisted(now)
         if res.code == Code.DONE:
+            self._unproven_refusals = 0
             return
-        self._refused_polls += 1
+        self._unproven_refusals += res.code == Code.NOT_PROVABLY_NEWEST
         self._control_selector.record_failure(self._polled_address, now)
         await asyncio.sleep(res.retry_after_ms / 1000)
 
@@ -189,7 +190,8 @@
         # Without a quorum in reach, every control VM refuses a node that has
         # no configuration. An unproven version is then better than none.
         min_refused = max(MIN_REFUSED_POLLS, self._control_selector.count)
-        req.unproven = self._refused_polls >= min_refused and req.version == 0
+        no_quorum = self._unproven_refusals >= min_refused
+        req.unproven = no_quorum and req.version == 0
         self._sent_revision = self._state_revision
         return req
 
