Use a restarted backend server from its first heartbeat on

Cause: heartbeats were ordered by (born, sequence) across different servers. Where servers tell no start time, a new server with a new name counted as delayed until its sequence passed that of the one before, silently.

Now core/serverstarts is the one notion of a start (name, and start time where it is told) for heartbeats, endpoints, the directory, notices and the node's own endpoint. A server that a delayed heartbeat has replaced wrongly returns with its next heartbeat after the lease of the other ended, by time or because another server answered at the address. A new start ends the drain, limit, failing share, pooled connections and running calls of the former one, and control VMs end its endpoint at once. Dropped heartbeats are counted by reason and logged at most every 10 s.

test_anyzone gave two servers of its fixture one node address; a node has one server, so they now have two addresses. Its assertions are the same.

--- a/papayalock/core/directory.py
+++ b/papayalock/core/directory.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from papayalock.core.servernotices import ServerNotices
+from papayalock.core.serverstarts import start_of
 from papayalock.messages import Endpoint, ServerLoad
 
 RETENTION_S = 6.0  # how long a server stays after a full list omitted it
@@ -134,7 +135,5 @@
 
 
 def _same_process(current: Endpoint, update: Endpoint) -> bool:
-    return (current.incarnation, current.born_ms) == (
-        update.incarnation,
-        update.born_ms,
-    )
+    same_node = current.incarnation == update.incarnation
+    return same_node and start_of(current).is_same(start_of(update))
--- a/papayalock/core/endpoints.py
+++ b/papayalock/core/endpoints.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from papayalock.core.serverstarts import is_outdated, start_of
 from papayalock.messages import Endpoint, EndpointDelta
 
 MS_PER_S = 1000
@@ -36,6 +37,7 @@
         self._records: dict[str, Endpoint] = {}
         self._cursors: dict[str, int] = {}
         self._leases: dict[str, float] = {}
+        self._server_at: dict[str, str] = {}  # by address of its node
         self._trimmed_cursor = 0
 
     def __len__(self) -> int:
@@ -64,8 +66,23 @@
             self._leases.pop(endpoint.server, None)
         else:
             self._leases[endpoint.server] = now + self.lease_s
+            self._end_predecessor(endpoint)
         return self._store_own(endpoint, current)
 
+    def _end_predecessor(self, endpoint: Endpoint) -> None:
+        """Marks the server that was at a node before as left.
+
+        A peer with which the node registered it lets its lease expire.
+        """
+        name = self._server_at.get(endpoint.address, '')
+        before = self._records.get(name, endpoint)
+        if before.incarnation > endpoint.incarnation:
+            return
+        self._server_at[endpoint.address] = endpoint.server
+        if name != endpoint.server and self._leases.pop(name, 0.0):
+            left = msgspec.structs.replace(before, state=LEFT)
+            self._store_own(left, before)
+
     def merge(self, endpoint: Endpoint) -> bool:
         """Records an endpoint that a peer sent, if it is newer.
 
@@ -174,8 +191,14 @@
         self._cursors.pop(endpoint.server, None)
         self._cursors[endpoint.server] = self.cursor
         self._records[endpoint.server] = endpoint
+        if endpoint.state == LEFT:
+            self._forget_address(endpoint)
         self._trim()
 
+    def _forget_address(self, endpoint: Endpoint) -> None:
+        if self._server_at.get(endpoint.address) == endpoint.server:
+            self._server_at.pop(endpoint.address)
+
     def _trim(self) -> None:
         """Bounds the records of departed servers."""
         if (
@@ -203,8 +226,12 @@
     """
     if current.state != 'draining' or endpoint.state != 'ready':
         return False
-    reported = (endpoint.born_ms, endpoint.heartbeat)
-    return reported < (current.born_ms, current.heartbeat)
+    return is_outdated(
+        start_of(endpoint),
+        endpoint.heartbeat,
+        start_of(current),
+        current.heartbeat,
+    )
 
 
 class ExistenceTracker:
--- a/papayalock/core/heartbeats.py
+++ b/papayalock/core/heartbeats.py
@@ -4,9 +4,10 @@
 a delayed one of an earlier start, or one sent before a drain, changes nothing.
 """
 
+from collections import Counter
 from enum import Enum
 
-from papayalock.core.servernotices import is_other_start
+from papayalock.core.serverstarts import OfServer, StartHistory, start_of
 from papayalock.messages import Announcement, NodeNotice, ServerNotice
 
 MS_PER_S = 1000
@@ -21,6 +22,13 @@
     STALE = 'stale'
 
 
+class DropReason(Enum):
+    """Why a heartbeat was dropped."""
+
+    LATE = 'late'  # sent before another one of the same start
+    REPLACED = 'replaced'  # of a start that another one has replaced
+
+
 class BackendMonitor:
     """Lease and drain state of one backend server.
 
@@ -29,12 +37,14 @@
 
     __slots__ = (
         '_close_after_s',
-        '_lease_s',
         '_has_notice',
+        '_history',
+        '_lease_s',
         '_limit_stated_at',
         'announcement',
         'changed_sequence',
         'draining_since',
+        'dropped',
         'lease_until',
         'limit',
     )
@@ -51,6 +61,8 @@
         self.draining_since: float | None = None
         self.changed_sequence = 0
         self.limit: float | None = None  # requests per second; None for none
+        self.dropped: Counter[DropReason] = Counter()
+        self._history = StartHistory()
         self._limit_stated_at = float('-inf')
         self._has_notice = False  # whether this start has sent a response
         self._lease_s = lease_ms / MS_PER_S
@@ -60,10 +72,13 @@
         self, heartbeat: Announcement, now: float
     ) -> HeartbeatEffect:
         """Updates the state from a heartbeat and returns what changed."""
-        current = self.announcement
-        if current is not None and _order_key(heartbeat) <= _order_key(current):
+        drop_reason = self._reason_to_drop(heartbeat, now)
+        if drop_reason is not None:
+            self.dropped[drop_reason] += 1
             return HeartbeatEffect.STALE
-        if not self._is_current(heartbeat.server, heartbeat.born_ms):
+        current = self.announcement
+        if current is not None and not self._is_current(heartbeat):
+            self._history.record_replaced(start_of(current), current.sequence)
             self._forget_start()
         had_expired = self.lease_expired(now)
         self.announcement = heartbeat
@@ -76,6 +91,24 @@
             return HeartbeatEffect.CHANGED
         return HeartbeatEffect.RENEWED
 
+    def _reason_to_drop(
+        self, heartbeat: Announcement, now: float
+    ) -> DropReason | None:
+        """Returns why to drop a heartbeat, or None to use it."""
+        current = self.announcement
+        if current is None:
+            return None
+        if self._is_current(heartbeat):
+            is_late = heartbeat.sequence <= current.sequence
+            return DropReason.LATE if is_late else None
+        may_follow = self._history.may_follow(
+            start_of(heartbeat),
+            heartbeat.sequence,
+            start_of(current),
+            lease_expired=self.lease_expired(now),
+        )
+        return None if may_follow else DropReason.REPLACED
+
     def record_discovery(self, discovered: Announcement, now: float) -> bool:
         """Records a server that was found before any heartbeat of it came.
 
@@ -112,7 +145,7 @@
         :param sent_at: time at which the call of the response was sent
         :returns: whether the limit changed
         """
-        if not self._is_current(serving.server, serving.born_ms):
+        if not self._is_current(serving):
             return False
         self._has_notice = True
         before = self.limit
@@ -130,7 +163,7 @@
 
         :param serving: the start of the server that sent the response
         """
-        if not self._is_current(serving.server, serving.born_ms):
+        if not self._is_current(serving):
             return HeartbeatEffect.STALE
         return self._start_draining(now)
 
@@ -145,7 +178,7 @@
         limit = told.notice.limit
         if self._has_notice or limit is None:
             return False
-        if not self._is_current(told.server, told.born_ms):
+        if not self._is_current(told):
             return False
         if limit == self.limit:
             return False
@@ -180,15 +213,12 @@
             return None
         return self.announcement
 
-    def _is_current(self, server: str, born_ms: int) -> bool:
-        """Whether the start of a server is the one that is known last.
-
-        A server found by a health check has no known start time.
-        """
+    def _is_current(self, message: OfServer) -> bool:
+        """Whether a message is about the start that is known last."""
         current = self.announcement
-        if current is None or current.server != server:
+        if current is None:
             return False
-        return not is_other_start(born_ms, current.born_ms)
+        return start_of(message).is_same(start_of(current))
 
     def _forget_start(self) -> None:
         """Clears the state that ended with the previous start of the server."""
@@ -206,10 +236,6 @@
         return HeartbeatEffect.CHANGED
 
 
-def _order_key(announcement: Announcement) -> tuple[int, int]:
-    return announcement.born_ms, announcement.sequence
-
-
 def _content(announcement: Announcement) -> tuple[object, ...]:
     return (
         announcement.server,
--- a/papayalock/core/servernotices.py
+++ b/papayalock/core/servernotices.py
@@ -2,18 +2,20 @@
 
 from dataclasses import dataclass
 
+from papayalock.core.serverstarts import ServerStart, start_of
 from papayalock.messages import Endpoint, ServerNotice
 
 MAX_REMEMBERED = 1024
 LIMIT_RECENT_S = 2.0
 NOTHING = ServerNotice()
+NEVER = float('-inf')
 
 
 @dataclass(slots=True, frozen=True)
 class HeardNotice:
     """A notice, the start of the server, and when the notice was heard."""
 
-    born_ms: int  # start of the server, ms since the epoch; 0 if unknown
+    start: ServerStart
     notice: ServerNotice
     heard_at: float  # monotonic seconds
 
@@ -35,7 +37,7 @@
     def find(self, endpoint: Endpoint) -> ServerNotice:
         """Returns what a server stated since its start."""
         heard = self._heard.get(endpoint.server)
-        if heard is None or is_other_start(heard.born_ms, endpoint.born_ms):
+        if heard is None or not heard.start.is_same(start_of(endpoint)):
             return NOTHING
         return heard.notice
 
@@ -59,17 +61,18 @@
 
         :param born_ms: start of the server, in ms since the epoch; 0 if unknown
         """
-        known = self._heard.get(server, UNHEARD)
-        if born_ms and born_ms < known.born_ms:
+        start = ServerStart(server, born_ms)
+        known = self._heard.get(server, HeardNotice(start, NOTHING, NEVER))
+        if start.is_before(known.start):
             return
-        if not is_other_start(born_ms, known.born_ms):
+        if start.is_same(known.start):
             leaving = notice.leaving or known.notice.leaving
             notice = ServerNotice(limit=notice.limit, leaving=leaving)
-        self._heard.pop(server, None)
-        heard = HeardNotice(born_ms or known.born_ms, notice, now)
-        if known is UNHEARD and notice == NOTHING:
+            start = ServerStart(server, born_ms or known.start.born_ms)
+        if self._heard.pop(server, None) is None and notice == NOTHING:
             return
-        if (heard.born_ms, notice) != (known.born_ms, known.notice):
+        heard = HeardNotice(start, notice, now)
+        if (start, notice) != (known.start, known.notice):
             self.revision += 1
         if notice == NOTHING:
             return
@@ -77,11 +80,3 @@
         if len(self._heard) > MAX_REMEMBERED:
             self._heard.pop(next(iter(self._heard)))
             self.revision += 1
-
-
-UNHEARD = HeardNotice(0, NOTHING, float('-inf'))
-
-
-def is_other_start(one_ms: int, other_ms: int) -> bool:
-    """Whether two start times differ, as far as they are known."""
-    return one_ms != other_ms and bool(one_ms) and bool(other_ms)
--- a/papayalock/node/announcements.py
+++ b/papayalock/node/announcements.py
@@ -2,7 +2,11 @@
 
 import logging
 
-from papayalock.core.heartbeats import BackendMonitor, HeartbeatEffect
+from papayalock.core.heartbeats import (
+    BackendMonitor,
+    DropReason,
+    HeartbeatEffect,
+)
 from papayalock.dialect import AnnouncementDialect, Departure
 from papayalock.messages import Announcement
 from papayalock.node.hostagent import HostAgent
@@ -13,6 +17,7 @@
 log = logging.getLogger(__name__)
 
 DRAIN_REPORT_TIMEOUT_S = 0.7  # until a control VM has answered the report
+DROPPED_LOG_INTERVAL_S = 10.0
 OK = 200
 
 
@@ -42,6 +47,7 @@
         self._clock = clock
         self.backend_address = backend_address
         self.service = service
+        self._dropped_logged_at = float('-inf')
 
     async def handle(self, call: Call, reply: Reply) -> None:
         """Answers one announcement."""
@@ -56,6 +62,8 @@
             return
         if effect is HeartbeatEffect.CHANGED:
             await self._publish_change()
+        elif effect is HeartbeatEffect.STALE:
+            self._log_dropped(call.target.decode('latin-1'))
         reply.send(OK, [(b'content-type', b'application/json')], b'{}')
 
     def _apply(self, message: Announcement | Departure) -> HeartbeatEffect:
@@ -74,6 +82,22 @@
             )
         return self._monitor.record_heartbeat(message, now)
 
+    def _log_dropped(self, target: str) -> None:
+        """Logs that a message changed nothing, with the counts of reasons."""
+        now = self._clock.monotonic()
+        if now - self._dropped_logged_at < DROPPED_LOG_INTERVAL_S:
+            return
+        self._dropped_logged_at = now
+        current = self._monitor.announcement
+        log.info(
+            'heartbeat dropped',
+            extra={
+                'target': target,
+                'current': current.server if current else '',
+                **_drop_counts(self._monitor),
+            },
+        )
+
     async def _publish_change(self) -> None:
         """Notifies the node's parts and a control VM of a change.
 
@@ -96,3 +120,7 @@
             )
         ):
             log.warning('drain not yet confirmed by a control VM')
+
+
+def _drop_counts(monitor: BackendMonitor) -> dict[str, int]:
+    return {reason.value: monitor.dropped[reason] for reason in DropReason}
--- a/papayalock/node/hostagent.py
+++ b/papayalock/node/hostagent.py
@@ -11,6 +11,7 @@
 from papayalock.core.heartbeats import BackendMonitor
 from papayalock.core.hostroutes import HostRouteTable
 from papayalock.core.placement import Placement
+from papayalock.core.serverstarts import is_outdated, start_of
 from papayalock.messages import (
     Delta,
     Endpoint,
@@ -172,9 +173,11 @@
         current = self.backend_monitor.announcement
         if current is None or current.server != endpoint.server:
             return
-        newer = (endpoint.born_ms, endpoint.heartbeat) > (
-            current.born_ms,
+        newer = is_outdated(
+            start_of(current),
             self.backend_monitor.changed_sequence,
+            start_of(endpoint),
+            endpoint.heartbeat,
         )
         if newer and endpoint.state == 'draining':
             log.warning(
--- a/papayalock/node/hostmetrics.py
+++ b/papayalock/node/hostmetrics.py
@@ -3,6 +3,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from papayalock.core.admission import ServerGate
+from papayalock.core.heartbeats import DropReason
 from papayalock.node.hostagent import HostAgent
 from papayalock.node.http import Call, Reply
 from papayalock.node.lag import LoopLag
@@ -52,6 +53,11 @@
             buckets=list(BUCKETS_S),
             registry=self._registry,
         )
+        self._dropped = Counter(
+            'papayalock_heartbeats_dropped_total',
+            'Heartbeats of the backend server that changed nothing',
+            registry=self._registry,
+        )
         self._gauges = Gauge(
             'papayalock_state', 'State of this node', registry=self._registry
         )
@@ -93,6 +99,10 @@
         }
         for name, current in gauges.items():
             self._gauges.set({'what': name}, current)
+        for reason in DropReason:
+            self._dropped.set(
+                {'reason': reason.value}, agent.backend_monitor.dropped[reason]
+            )
         text, _ = render(self._registry, [])
         return bytes(text)
 
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -8,9 +8,11 @@
 
 from papayalock.core.admission import Job, ServerGate, job_from_order
 from papayalock.core.heartbeats import BackendMonitor
+from papayalock.core.serverstarts import ServerStart, start_of
 from papayalock.core.shutdowntimes import RETRY_AFTER_MS
 from papayalock.dialect import BackendMetadata, CallDialect
 from papayalock.httpclient import (
+    ClientConn,
     Headers,
     Request,
     Response,
@@ -93,6 +95,8 @@
         self._lag = lag
         self.callee_failures = 0
         self._running: set[asyncio.Task[Outcome]] = set()
+        self._conns: dict[ClientConn, ServerStart] = {}  # that carry a call
+        self._start: ServerStart | None = None
         self.notices = BackendNotices(monitor, dialect, clock)
         self.notices.on_limit_changed.append(self.update_slots)
 
@@ -103,6 +107,8 @@
         """
         now = self._clock.monotonic()
         serving = self._monitor.serving(now)
+        if serving is not None:
+            self._adopt_start(serving)
         self._gate.rate_limit.change(self._monitor.limit, now)
         self._gate.slots = serving.slots if serving else 0
         if serving is None:
@@ -110,6 +116,19 @@
         else:
             self._queue.start_admitted()
 
+    def _adopt_start(self, serving: Announcement) -> None:
+        """Ends what belongs to the former start, if there is a new one."""
+        start = start_of(serving)
+        former = self._start
+        self._start = start
+        if former is None or former.is_same(start):
+            return
+        self._gate.failing = 0.0
+        self._pool.close_idle(serving.address)
+        for conn, start_of_call in list(self._conns.items()):
+            if not start_of_call.is_same(start):
+                conn.close()  # fails the call
+
     async def handle(self, call: Call, reply: Reply) -> None:
         """Runs a call that another node forwarded and sends its outcome."""
         try:
@@ -256,6 +275,7 @@
         remaining_ms: int,
     ) -> Outcome:
         conn = await self._pool.acquire(serving.address)
+        self._conns[conn] = start_of(serving)
         sent_at = self._clock.monotonic()
         reusable = False
         try:
@@ -277,6 +297,7 @@
                 Code.UNKNOWN_TIMEOUT, 'no complete response in time', sent=True
             ) from exc
         finally:
+            self._conns.pop(conn)
             if reusable:
                 self._pool.release(serving.address, conn)
             else:
--- a/test/hostmesh.py
+++ b/test/hostmesh.py
@@ -29,6 +29,7 @@
 SWEEP_S = 0.25
 SERVICE_S = 0.1
 SLOTS = 6
+BORN_MS = 1000
 
 
 class PipeTransport(FakeTransport):
@@ -49,7 +50,9 @@
 
     def abort(self) -> None:
         self.aborted = True
-        self.close()
+        if not self.closed:
+            self.close()
+            asyncio.get_running_loop().call_soon(self._lose)
 
     def _arrive(self, data: bytes) -> None:
         if not self.closed:
@@ -97,10 +100,11 @@
         self.notice: list[tuple[bytes, bytes]] = []
         self.arrivals: list[float] = []
         self.completed = 0
+        self.hangs = False
 
     async def handle(self, call: Call, reply: Reply) -> None:
         self.arrivals.append(asyncio.get_running_loop().time())
-        await asyncio.sleep(SERVICE_S)
+        await asyncio.sleep(float('inf') if self.hangs else SERVICE_S)
         self.completed += 1
         name = (CALL_HEADER, call.header(CALL_HEADER))
         reply.send(200, [name, *self.notice], b'ok')
@@ -137,6 +141,7 @@
 
     def __init__(self, mesh: 'HostMesh', number: int) -> None:
         self.name = f'i-{number}'
+        self.backend_address = self.name
         self.address = f'10.0.0.{number + 1}:1'
         clock = LoopClock()
         settings = make_settings(
@@ -175,18 +180,28 @@
         mesh.gates[self.address] = HttpServer(self.inbound.handle, limits)
 
     def announce(self) -> None:
+        """Records the first heartbeat of the server beside the node."""
+        self.beat(1, BORN_MS)
+
+    def beat(self, sequence: int, born_ms: int) -> None:
         """Records a heartbeat of the server beside the node."""
-        self.monitor.record_heartbeat(
-            beat(1, server=self.name, address=self.name, slots=SLOTS),
-            asyncio.get_running_loop().time(),
+        heartbeat = beat(
+            sequence,
+            born=born_ms,
+            server=self.name,
+            address=self.backend_address,
+            slots=SLOTS,
         )
+        now = asyncio.get_running_loop().time()
+        self.monitor.record_heartbeat(heartbeat, now)
         self.inbound.update_slots()
 
 
 class HostMesh:
     """Nodes that know each other's servers, without control VMs."""
 
-    def __init__(self, size: int) -> None:
+    def __init__(self, size: int, born_ms: int = BORN_MS) -> None:
+        self.born_ms = born_ms
         self.gates: dict[str, HttpServer] = {}
         self.backends: dict[str, HttpServer] = {}
         self.servers = [StandInServer() for _ in range(size)]
@@ -196,12 +211,16 @@
         self.nodes = [MeshNode(self, number) for number in range(size)]
         self.outcomes: list[Outcome] = []
         for node in self.nodes:
-            node.announce()
+            node.beat(1, born_ms)
             self.introduce(node)
 
     def introduce(self, node: MeshNode, **changes: object) -> None:
         """Tells all nodes of the endpoint of one of them."""
-        fields = {'address': node.address, 'slots': SLOTS, 'born_ms': 1000}
+        fields = {
+            'address': node.address,
+            'slots': SLOTS,
+            'born_ms': self.born_ms,
+        }
         known = endpoint(node.name, **{**fields, **changes})
         for other in self.nodes:
             other.agent.placement.upsert(
@@ -213,13 +232,26 @@
         placement = self.nodes[number].agent.placement
         node = MeshNode(self, number)
         self.nodes[number] = node
-        node.announce()
+        node.beat(1, self.born_ms)
         for known in placement.servers.values():
             node.agent.placement.upsert(
                 known.endpoint, asyncio.get_running_loop().time()
             )
         self.introduce(node, incarnation=2)
 
+    def start_server(self, number: int, name: str) -> None:
+        """Replaces a silent server by one with another name, unannounced."""
+        node = self.nodes[number]
+        self.servers[number] = StandInServer()
+        limits = ServerLimits(65536, 65536, 4096, pipelined=2)
+        self.backends[node.backend_address] = HttpServer(
+            self.servers[number].handle, limits
+        )
+        for other in self.nodes:
+            other.agent.placement.remove(node.name)
+        node.name = name
+        self.introduce(node)
+
     async def load(
         self, per_s: float, seconds: float, at: Sequence[int] = ()
     ) -> None:
--- a/test/test_anyzone.py
+++ b/test/test_anyzone.py
@@ -94,7 +94,7 @@
             server=f'i-{service}',
             service=service,
             zone='z1',
-            address='n:1',
+            address=f'n-{service}:1',
             incarnation=1,
         )
         harness.distributor.table.attach(server, 0)
