Quarantine requests under which backend servers crash

Cause: a call that broke off says nothing about the next call with the same content; no node knew a request again, and none told another.

Now a request is known by a digest of method, host, target and body. When a connection breaks, the node beside the server tries a new one: refused, the server has ended, and what it ran or left unanswered is suspect. Different suspects do not run beside each other, so the next end tells which one it was: an end under the only suspect convicts it. Ends that come together convict none (a popular request runs everywhere when a rack fails), and an answer of a server clears a request. Evidence is a set of ends by start, so nodes merge it in any order; changes go to 8 nodes, which pass on what is new to them, and digests are compared with 2 nodes a second while there is evidence, without control VMs. A convicted request is refused at once at every node as 115 QUARANTINED (not run, 10 min; then a suspect again); an attempt that may have run stays unknown. Operators see and lift it (papayalock crashes, metrics).

Evidence: with every standing CLEAR, five of TestDeadlyRequest fail: 12, 24 and 46 crashes in 12 s with 3, 6 and 12 servers, where 6 are allowed; all pass now.

Ruled out: counting broken connections (servers reset them when full or as their answer is lost), counting crashes alone (three servers that lose power together would convict what they ran), emptying a server for each first suspect (it falls on innocent calls mostly), spreading by control VMs (must hold where none is in reach).

--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -11,6 +11,7 @@
 import math
 from dataclasses import dataclass
 
+from papayalock.core.crashes import Standing
 from papayalock.core.gate import AdmissionResult, Queued, Shed, Started
 from papayalock.core.ratelimit import RateLimit
 from papayalock.core.shutdowntimes import ShutdownTimes
@@ -45,6 +46,8 @@
     deadline_at: float
     returning: bool = False  # whether its caller was refused before
     may_wait: bool = True  # whether it may queue
+    request: str = ''  # digest of its content
+    standing: Standing = Standing.CLEAR  # what is known against the request
     started: float = 0.0
     sequence: int = 0  # order of arrival
     served: bool = False  # whether the server answered without an error
@@ -60,6 +63,8 @@
         deadline_at=now + order.remaining_ms / MS_PER_S,
         returning=order.returning,
         may_wait=order.may_wait,
+        request=order.request,
+        standing=Standing(min(order.standing, Standing.CONVICTED)),
     )
 
 
@@ -178,7 +183,10 @@
             return Shed(Code.NO_SERVER, MIN_RETRY_AFTER_MS)
         if job.deadline_at <= now:
             return Shed(Code.DEADLINE_BEFORE_RUN, 0)
-        if self._may_start(job, now) and not self._ready_jobs(now):
+        may_start = self._may_start(job, now) and not self._behind_isolated(
+            [job], now
+        )
+        if may_start and not self._ready_jobs(now):
             self._start(job, now)
             return Started()
         if not job.may_wait or len(self._waiting) >= MAX_QUEUED:
@@ -285,7 +293,24 @@
     def _ready_jobs(self, now: float) -> list[Job]:
         if len(self.running) >= self.slots:
             return []
-        return [job for job in self._waiting if self._may_start(job, now)]
+        ready = [job for job in self._waiting if self._may_start(job, now)]
+        behind = self._behind_isolated(ready, now)
+        return [job for job in ready if job not in behind]
+
+    def _behind_isolated(self, jobs: list[Job], now: float) -> list[Job]:
+        """Returns the calls that an isolated call in the queue goes before.
+
+        It waits until the running calls have ended, so none may start first.
+        """
+        isolated = [
+            self._sort_key(queued, now)
+            for queued in self._waiting
+            if queued.standing >= Standing.ISOLATED
+        ]
+        if not isolated:
+            return []
+        first = min(isolated)
+        return [job for job in jobs if first < self._sort_key(job, now)]
 
     def _may_start(self, job: Job, now: float) -> bool:
         """Returns whether the slots and the rate limit let a call start."""
@@ -299,7 +324,7 @@
         therefore leave slots free, in proportion to those that the short calls
         have used lately. One long call may always run.
         """
-        if len(self.running) >= self.slots:
+        if len(self.running) >= self.slots or self._must_run_apart(job):
             return False
         service = self.service_times.expected(job.route)
         reserved = RESERVED_RATIO * self.usage.short_call_slots(
@@ -310,6 +335,22 @@
         )
         return not equal_or_below or equal_or_below < self.slots - reserved
 
+    def _must_run_apart(self, job: Job) -> bool:
+        """Returns whether a call may not run beside those that run now.
+
+        The server may end under a suspect. Different suspects do not run
+        together, so that the end of the server tells which one it was. One
+        under which servers have ended repeatedly runs beside no other request,
+        as its end would break off all others; a first suspicion mostly falls
+        on innocent calls, and is not worth emptying the server.
+        """
+        return any(
+            max(job.standing, other.standing) >= Standing.ISOLATED
+            or (job.standing and other.standing)
+            for other in self.running
+            if other.request != job.request
+        )
+
     def expected_wait_s(self, job: Job) -> float:
         """Returns the seconds until a new call is expected to get a slot.
 
--- /dev/null
+++ b/papayalock/core/crashes.py
@@ -0,0 +1,247 @@
+"""Requests under which backend servers ended, and the verdict on each.
+
+A request may crash every server that runs it, and callers send it again. When
+a server ends, each request that it ran is a suspect. Evidence is kept by the
+start of the server that ended, so nodes can merge what they know in any order
+and as often as they like.
+
+Servers may also end together for another reason, under innocent requests. So
+only an end that comes when a request is suspected already, and no other
+suspect runs there, convicts it; and an answer of a server clears it.
+
+The load that it answers: one such request among many innocent ones, sent again
+several times a second at any node.
+"""
+
+import hashlib
+from collections.abc import Collection, Iterable
+from enum import IntEnum
+
+from papayalock.messages import CrashReport, ServerEnd
+
+DIGEST_BYTES = 12
+MAX_DIGESTED_BYTES = 1_048_576  # of a body; the rest counts by its length
+FIRST_WEIGHT = 1  # of an end that makes its requests suspects
+CONFIRMING_WEIGHT = 2  # of an end under a request that was the only suspect
+ISOLATING_WEIGHT = 2
+VERDICT_S = 600.0  # from the last end on; a suspect again for as long after it
+MAX_REQUESTS = 256
+MAX_ENDS = 8  # per request
+MS_PER_S = 1000
+
+
+class Standing(IntEnum):
+    """What is known against a request."""
+
+    CLEAR = 0
+    SUSPECT = 1  # runs beside no other suspect
+    ISOLATED = 2  # runs alone
+    CONVICTED = 3  # does not run
+
+
+def request_digest(
+    method: bytes, host: bytes, target: bytes, body: bytes, key: bytes
+) -> str:
+    """Returns the digest by which nodes know a request.
+
+    The caller is left out: the same request crashes servers whoever sends it.
+
+    :param key: secret of the mesh; '' for none
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES, key=key)
+    for part in (method, host.lower(), target, b'%d' % len(body)):
+        digest.update(b'%d:%s' % (len(part), part))
+    digest.update(body[:MAX_DIGESTED_BYTES])
+    return digest.hexdigest()
+
+
+class Evidence:
+    """The ends of servers under one request, by the start of the server."""
+
+    __slots__ = ('ends', 'last_end_at')
+
+    def __init__(self) -> None:
+        """Starts without ends."""
+        self.ends: dict[str, ServerEnd] = {}
+        self.last_end_at = float('-inf')
+
+    @property
+    def weight(self) -> int:
+        """The weight of the ends that no later success has refuted."""
+        return sum(end.weight for end in self.ends.values() if not end.refuted)
+
+    @property
+    def confirmed(self) -> bool:
+        """Whether a server ended under the request as the only suspect."""
+        return any(
+            end.weight == CONFIRMING_WEIGHT and not end.refuted
+            for end in self.ends.values()
+        )
+
+    def add(self, end: ServerEnd, at: float) -> bool:
+        """Merges one end; returns whether anything changed."""
+        known = self.ends.get(end.start)
+        if known is None:
+            if len(self.ends) >= MAX_ENDS:
+                return False
+            self.ends[end.start] = end
+            self.last_end_at = max(self.last_end_at, at)
+            return True
+        merged = ServerEnd(
+            start=end.start,
+            weight=max(known.weight, end.weight),
+            refuted=known.refuted or end.refuted,
+        )
+        self.ends[end.start] = merged
+        return merged != known
+
+    def refute(self) -> bool:
+        """Marks all known ends as refuted; returns whether one was not."""
+        changed = self.weight > 0
+        for end in self.ends.values():
+            end.refuted = True
+        return changed
+
+
+class CrashLedger:
+    """What one node knows of the requests under which servers ended."""
+
+    __slots__ = ('_evidence',)
+
+    def __init__(self) -> None:
+        """Starts without evidence."""
+        self._evidence: dict[str, Evidence] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of requests that there is evidence on."""
+        return len(self._evidence)
+
+    def standing(self, request: str, now: float) -> Standing:
+        """Returns the standing of a request.
+
+        :param request: its digest
+        """
+        evidence = self._evidence.get(request)
+        if evidence is None:
+            return Standing.CLEAR
+        weight = evidence.weight
+        age = now - evidence.last_end_at
+        if not weight or age >= 2 * VERDICT_S:
+            return Standing.CLEAR
+        if evidence.confirmed and age < VERDICT_S:
+            return Standing.CONVICTED
+        isolated = weight >= ISOLATING_WEIGHT
+        return Standing.ISOLATED if isolated else Standing.SUSPECT
+
+    def verdict_left_s(self, request: str, now: float) -> float:
+        """Returns the seconds until the verdict on a request ends."""
+        evidence = self._evidence.get(request)
+        if evidence is None:
+            return 0.0
+        return max(0.0, evidence.last_end_at + VERDICT_S - now)
+
+    def count(self, standing: Standing, now: float) -> int:
+        """Returns the number of requests with a standing."""
+        return sum(
+            self.standing(request, now) is standing
+            for request in self._evidence
+        )
+
+    def record_end(
+        self, start: str, requests: Collection[str], now: float
+    ) -> list[str]:
+        """Records that a server ended, and returns the requests to blame.
+
+        An end is blamed on the suspects that ran there, if there were any.
+
+        :param start: identifies the start of the server that ended
+        :param requests: digests of the requests that it ran
+        """
+        suspects = [
+            request for request in requests if self.standing(request, now)
+        ]
+        blamed = suspects or list(requests)
+        weight = CONFIRMING_WEIGHT if len(suspects) == 1 else FIRST_WEIGHT
+        for request in blamed:
+            end = ServerEnd(start=start, weight=weight)
+            self._add(request, [end], now)
+        return blamed
+
+    def refute(self, request: str) -> bool:
+        """Clears a request, since a server has answered it or by order.
+
+        :returns: whether there was something to clear
+        """
+        evidence = self._evidence.get(request)
+        return evidence is not None and evidence.refute()
+
+    def report(self, request: str, now: float) -> CrashReport | None:
+        """Returns what is known of a request, for other nodes."""
+        evidence = self._evidence.get(request)
+        if evidence is None:
+            return None
+        age_ms = int(max(0.0, now - evidence.last_end_at) * MS_PER_S)
+        ends = list(evidence.ends.values())
+        return CrashReport(request=request, age_ms=age_ms, ends=ends)
+
+    def newest_reports(self, limit: int, now: float) -> list[CrashReport]:
+        """Returns the reports on the requests with the newest ends."""
+        newest = sorted(
+            self._evidence,
+            key=lambda name: self._evidence[name].last_end_at,
+            reverse=True,
+        )
+        reports = [self.report(request, now) for request in newest[:limit]]
+        return [report for report in reports if report is not None]
+
+    def merge(self, reports: Iterable[CrashReport], now: float) -> list[str]:
+        """Merges the reports of another node.
+
+        :returns: the requests on which something new was learned
+        """
+        return [
+            report.request
+            for report in reports
+            if self._add(
+                report.request, report.ends, now - report.age_ms / MS_PER_S
+            )
+        ]
+
+    def digest(self) -> str:
+        """Returns a digest that is equal at nodes with equal evidence."""
+        state = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for request in sorted(self._evidence):
+            ends = self._evidence[request].ends
+            state.update(request.encode())
+            for start in sorted(ends):
+                end = ends[start]
+                text = f'{start} {end.weight} {end.refuted};'
+                state.update(text.encode())
+        return state.hexdigest()
+
+    def drop_expired(self, now: float) -> None:
+        """Forgets the requests whose last evidence is too old to count."""
+        expired = [
+            request
+            for request, evidence in self._evidence.items()
+            if now - evidence.last_end_at >= 2 * VERDICT_S
+        ]
+        for request in expired:
+            self._evidence.pop(request)
+
+    def _add(self, request: str, ends: Iterable[ServerEnd], at: float) -> bool:
+        evidence = self._evidence.setdefault(request, Evidence())
+        changes = [evidence.add(end, at) for end in ends]
+        if len(self._evidence) > MAX_REQUESTS:
+            self._drop_weakest()
+        return any(changes)
+
+    def _drop_weakest(self) -> None:
+        weakest = min(
+            self._evidence,
+            key=lambda name: (
+                self._evidence[name].weight,
+                self._evidence[name].last_end_at,
+            ),
+        )
+        self._evidence.pop(weakest)
--- a/papayalock/daemon.py
+++ b/papayalock/daemon.py
@@ -123,7 +123,7 @@
 
         return run_control(settings, dialects.operator, path)
     if settings.hosts.outbound:
-        from papayalock.node.hostmain import run_host_node
+        from papayalock.node.hostrun import run_host_node
 
         node_dialects = NodeDialects(dialects.calls, dialects.announcements)
         return run_host_node(settings, node_dialects, path)
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -308,6 +308,67 @@
             description='Whether the call may queue for a slot; otherwise it is rejected unless one is free.'
         ),
     ] = True
+    request: Annotated[
+        str,
+        Meta(
+            description='Digest of the request, the same for all calls with the same content.',
+            max_length=64,
+        ),
+    ] = ''
+    standing: Annotated[
+        int,
+        Meta(
+            description='What the calling node knows against the request; see core.crashes.Standing.',
+            ge=0,
+        ),
+    ] = 0
+
+
+class ServerEnd(Struct):
+    """
+    The end of a backend server while it ran a request.
+    """
+
+    start: Annotated[
+        str, Meta(description='Name and start time of the server.', max_length=128)
+    ]
+    weight: Annotated[
+        int,
+        Meta(
+            description='2 if the request was the only suspect that ran there, otherwise 1.',
+            ge=1,
+            le=2,
+        ),
+    ]
+    refuted: Annotated[
+        bool,
+        Meta(
+            description='Whether a server has answered the request since then, or an operator has cleared it.'
+        ),
+    ] = False
+
+
+class CrashReport(Struct):
+    """
+    What a node knows of one request under which backend servers ended.
+    """
+
+    request: Annotated[str, Meta(description='Digest of the request.', max_length=64)]
+    age_ms: Annotated[int, Meta(description='Time since the last end.', ge=0)]
+    ends: Annotated[list[ServerEnd], Meta(max_length=8)]
+
+
+class CrashExchange(Struct):
+    """
+    Crash reports that two nodes exchange.
+    """
+
+    digest: Annotated[
+        str, Meta(description='Digest of all that the sender knows.', max_length=64)
+    ]
+    reports: Annotated[list[CrashReport], Meta(max_length=256)] = field(
+        default_factory=list
+    )
 
 
 class ServerLoad(Struct):
--- a/papayalock/node/accesslog.py
+++ b/papayalock/node/accesslog.py
@@ -105,6 +105,7 @@
     deadline_at: float
     target_at: float
     returning: bool
+    request: str  # digest of its content
     tries: list[TryRecord] = field(default_factory=list)
 
     @property
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -1,9 +1,8 @@
-"""Builds and runs a node with host routing."""
+"""Builds a node with host routing and runs it until it is stopped."""
 
 import asyncio
 import logging
 import random
-from pathlib import Path
 
 from papayalock.clock import SystemClock
 from papayalock.core.admission import Job, ServerGate
@@ -12,6 +11,7 @@
 from papayalock.core.placement import Placement
 from papayalock.dialect import NodeDialects
 from papayalock.node.announcements import AnnouncementHandler
+from papayalock.node.crashparts import CrashParts
 from papayalock.node.finder import BackendFinder
 from papayalock.node.hostagent import HostAgent
 from papayalock.node.hostmetrics import HostMetrics, metrics_address
@@ -23,7 +23,6 @@
 from papayalock.node.pools import NodePools
 from papayalock.node.shutdown import Shutdown, install_stop_signals
 from papayalock.node.slotqueue import SlotQueue
-from papayalock.reload import SettingsWatcher
 from papayalock.settings import Settings
 
 log = logging.getLogger(__name__)
@@ -71,7 +70,12 @@
         )
         gate = ServerGate()
         self.lag = LoopLag(SWEEP_INTERVAL_S)
-        self.metrics = HostMetrics(self.agent, gate, self.lag, clock)
+        self.crashes = CrashParts(
+            self.placement, pools.hop, address, clock, rng
+        )
+        self.metrics = HostMetrics(
+            self.agent, gate, self.lag, clock, self.crashes.reports
+        )
         self.inbound = InboundProxy(
             self.backend_monitor,
             SlotQueue[Job](gate, clock),
@@ -81,6 +85,7 @@
             clock,
             hosts.alive_ms,
             self.lag,
+            self.crashes.reports,
         )
         self.outbound = OutboundProxy(
             settings,
@@ -93,6 +98,7 @@
             self.lag,
             gate.shutdown_times,
             rng,
+            self.crashes.reports,
         )
         self.announcement_handler = AnnouncementHandler(
             dialects.announcements,
@@ -114,12 +120,16 @@
             settings.relay.connections,
         )
         self.caller_server = HttpServer(self.outbound.handle, caller_limits)
-        self.hop_server = HttpServer(self.inbound.handle, internal_limits)
+        self.hop_server = HttpServer(
+            self.crashes.exchange_or(self.inbound.handle), internal_limits
+        )
         self.ready_server = HttpServer(self._handle_ready, internal_limits)
         self.announce_server = HttpServer(
             self.announcement_handler.handle, internal_limits
         )
-        self.metrics_server = HttpServer(self.metrics.handle, internal_limits)
+        self.metrics_server = HttpServer(
+            self.crashes.admin_or(self.metrics.handle), internal_limits
+        )
         self._servers = (
             self.caller_server,
             self.hop_server,
@@ -163,6 +173,7 @@
             asyncio.create_task(self.agent.run()),
             asyncio.create_task(self._sweep()),
             asyncio.create_task(self.finder.run()),
+            asyncio.create_task(self.crashes.gossip.run()),
         ]
         for task in tasks:
             task.add_done_callback(_log_task_failure)
@@ -228,15 +239,3 @@
 def _log_task_failure(task: 'asyncio.Task[None]') -> None:
     if not task.cancelled() and task.exception() is not None:
         log.critical('task ended', exc_info=task.exception())
-
-
-async def run_host_node(
-    settings: Settings, dialects: NodeDialects, path: Path
-) -> None:
-    """Runs a node until it is stopped.
-
-    :param path: the settings file, which is reloaded when it changes
-    """
-    node = HostNode(settings, dialects)
-    settings_watcher = SettingsWatcher(path, settings, node.apply_settings)
-    await settings_watcher.run_alongside(node.run())
--- a/papayalock/node/hostmetrics.py
+++ b/papayalock/node/hostmetrics.py
@@ -4,6 +4,7 @@
 
 from papayalock.core.admission import ServerGate
 from papayalock.core.heartbeats import DropReason
+from papayalock.node.crashreports import CrashReports
 from papayalock.node.hostagent import HostAgent
 from papayalock.node.http import Call, Reply
 from papayalock.node.lag import LoopLag
@@ -34,9 +35,15 @@
     """
 
     def __init__(
-        self, agent: HostAgent, gate: ServerGate, lag: LoopLag, clock: Clock
+        self,
+        agent: HostAgent,
+        gate: ServerGate,
+        lag: LoopLag,
+        clock: Clock,
+        crash_reports: CrashReports,
     ) -> None:
         """Starts at zero."""
+        self._crash_reports = crash_reports
         self._agent = agent
         self._gate = gate
         self._lag = lag
@@ -96,6 +103,7 @@
             'stopping': int(agent.stopping),
             'control_errors': agent.errors,
             'loop_lag_ms': self._lag.max_lag_ms(self._clock.monotonic()),
+            **self._crash_reports.counts(),
         }
         for name, current in gauges.items():
             self._gauges.set({'what': name}, current)
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from papayalock.core.admission import Job, ServerGate, job_from_order
+from papayalock.core.crashes import Standing
 from papayalock.core.heartbeats import BackendMonitor
 from papayalock.core.serverstarts import ServerStart, start_of
 from papayalock.core.shutdowntimes import RETRY_AFTER_MS
@@ -24,6 +25,12 @@
     BackendNotices,
     notice_headers,
 )
+from papayalock.node.crashreports import (
+    EXCHANGE_HEADER,
+    REPORT_HEADER,
+    CrashReports,
+)
+from papayalock.node.crashwatch import CrashWatch
 from papayalock.node.http import OUTCOME_HEADER, Call, Reply
 from papayalock.node.keepalive import KeepaliveSender
 from papayalock.node.lag import LoopLag
@@ -55,6 +62,8 @@
 DISCONNECT_LOOP_PASSES = 2
 INTERNAL_HEADERS = frozenset(
     (
+        REPORT_HEADER,
+        EXCHANGE_HEADER,
         ORDER_HEADER,
         LOAD_HEADER,
         OUTCOME_HEADER,
@@ -80,6 +89,7 @@
         clock: Clock,
         alive_ms: int,
         lag: LoopLag,
+        crash_reports: CrashReports,
     ) -> None:
         """Starts without calls.
 
@@ -97,6 +107,8 @@
         self._running: set[asyncio.Task[Outcome]] = set()
         self._conns: dict[ClientConn, ServerStart] = {}  # that carry a call
         self._start: ServerStart | None = None
+        self._crash_reports = crash_reports
+        self._crash_watch = CrashWatch(crash_reports, monitor, pool, clock)
         self.notices = BackendNotices(monitor, dialect, clock)
         self.notices.on_limit_changed.append(self.update_slots)
 
@@ -121,7 +133,10 @@
         start = start_of(serving)
         former = self._start
         self._start = start
-        if former is None or former.is_same(start):
+        if former is not None and former.is_same(start):
+            return
+        self._crash_watch.adopt_start(start)
+        if former is None:
             return
         self._gate.failing = 0.0
         self._pool.close_idle(serving.address)
@@ -140,7 +155,7 @@
         with KeepaliveSender(reply, self._alive_ms):
             await self._process_disconnects()
             outcome = await self.run(order, call)
-        state = self._state_headers()
+        state = self._state_headers(order)
         if isinstance(outcome, ServerResponse):
             headers = [*outcome.headers, *state, (OUTCOME_HEADER, b'0 DONE')]
             headers.append(
@@ -157,10 +172,11 @@
         ]
         reply.send(SERVICE_UNAVAILABLE, headers, outcome.reason.encode())
 
-    def _state_headers(self) -> Headers:
+    def _state_headers(self, order: HopOrder) -> Headers:
         """Returns the headers that tell other nodes the server's state."""
         load = (LOAD_HEADER, msgspec.json.encode(self._gate.load()))
-        return [load, *notice_headers(self.notices.current)]
+        notice = notice_headers(self.notices.current)
+        return [load, *notice, *self._crash_reports.headers(order.request)]
 
     async def _process_disconnects(self) -> None:
         """Lets the loop read pending disconnects after it stalled.
@@ -178,6 +194,9 @@
         if isinstance(serving, NoResponse):
             return serving
         job = job_from_order(order, now)
+        job.standing = max(
+            job.standing, self._crash_reports.standing(order.request)
+        )
         if self._gate.shutdown_times.refuses_hop(job.deadline_at, now):
             return NoResponse(Code.DRAINING, 'the node stops', RETRY_AFTER_MS)
         try:
@@ -222,6 +241,8 @@
         self, order: HopOrder, now: float
     ) -> Announcement | NoResponse:
         """Returns the local server, or why the order cannot run on it."""
+        if self._crash_reports.standing(order.request) is Standing.CONVICTED:
+            return self._crash_reports.refusal(order.request)
         serving = self._monitor.serving(now)
         if serving is None:
             draining = self._monitor.is_closed(now)
@@ -250,7 +271,7 @@
         req = self._request(call, metadata)
         failures = self.callee_failures
         try:
-            outcome = await self._exchange(req, serving, order, remaining_ms)
+            outcome = await self._run_watched(req, serving, order, remaining_ms)
         except TransportError as exc:
             self._gate.record_outcome(failed=True)
             return NoResponse(exc.code, str(exc), arrived=exc.sent)
@@ -260,6 +281,34 @@
         self._record_health(outcome, job)
         return outcome
 
+    async def _run_watched(
+        self,
+        req: Request,
+        serving: Announcement,
+        order: HopOrder,
+        remaining_ms: int,
+    ) -> Outcome:
+        """Makes a call to the server, and notices if the server ends under it.
+
+        :raises TransportError: if the server did not answer
+        """
+        watch = self._crash_watch
+        sent = watch.record_sent(order.request)
+        answered = False
+        try:
+            outcome = await self._exchange(req, serving, order, remaining_ms)
+            answered = True
+        except TransportError as exc:
+            if exc.sent:
+                await watch.check(serving)
+            raise
+        finally:
+            if not answered:
+                watch.record_given_up(sent, order.request)
+        ran = isinstance(outcome, ServerResponse)
+        watch.record_answered(sent, order.request, ran=ran)
+        return outcome
+
     def _request(self, call: Call, metadata: BackendMetadata) -> Request:
         forwarded = [
             pair for pair in call.headers if pair[0] not in NOT_FORWARDED
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -1,6 +1,7 @@
 """The outbound proxy of a node with host routing: runs the calls of its VM."""
 
 from papayalock.core.budget import SharedBudget
+from papayalock.core.crashes import Standing, request_digest
 from papayalock.core.hedging import (
     FREE_SLOT_SEARCH_SHARE,
     CallProgress,
@@ -12,6 +13,7 @@
 from papayalock.dialect import CallDialect
 from papayalock.messages import HostRoute
 from papayalock.node.accesslog import AccessLog, RoutedCall
+from papayalock.node.crashreports import CrashReports
 from papayalock.node.hedge import HedgedCall
 from papayalock.node.hostagent import HostAgent
 from papayalock.node.hostmetrics import HostMetrics
@@ -48,6 +50,7 @@
         lag: LoopLag,
         shutdown_times: ShutdownTimes,
         rng: Random,
+        crash_reports: CrashReports,
     ) -> None:
         """Starts without calls."""
         self._settings = settings
@@ -56,8 +59,10 @@
         self._placement: Placement = agent.placement
         self._inbound = inbound
         self.try_runner = TryRunner(
-            settings, agent.placement, inbound, pool, clock
+            settings, agent.placement, inbound, pool, clock, crash_reports
         )
+        self._crash_reports = crash_reports
+        self._digest_key = settings.hosts.digest_key.encode()
         self._dialect = dialect
         self._clock = clock
         self._splitter = TrafficSplitter(rng, self._placement.is_reachable)
@@ -114,6 +119,8 @@
             routed.deadline_at, routed.arrived_at
         ):
             return NoResponse(Code.DRAINING, 'the node stops', RETRY_AFTER_MS)
+        if self._crash_reports.standing(routed.request) is Standing.CONVICTED:
+            return self._crash_reports.refusal(routed.request)
         return routed
 
     def _apply_route(self, call: Call, route: HostRoute) -> RoutedCall:
@@ -133,6 +140,13 @@
             deadline_at=now + remaining_ms / MS_PER_S,
             target_at=now + (route.target_ms - spent_ms) / MS_PER_S,
             returning=caller_deadline_ms < usual_ms * RETURNING_DEADLINE_SHARE,
+            request=request_digest(
+                call.method,
+                call.header(b'host'),
+                call.target,
+                call.body,
+                self._digest_key,
+            ),
         )
 
     async def _run_to_deadline(
--- a/papayalock/node/tryrunner.py
+++ b/papayalock/node/tryrunner.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from papayalock.core.crashes import Standing
 from papayalock.core.directory import KnownServer
 from papayalock.core.placement import Placement
 from papayalock.core.servernotices import NOTHING
@@ -21,6 +22,7 @@
     decode_notice,
     notice_headers,
 )
+from papayalock.node.crashreports import REPORT_HEADER, CrashReports
 from papayalock.node.http import OUTCOME_HEADER
 from papayalock.node.inbound import (
     ARRIVED_HEADER,
@@ -60,8 +62,10 @@
         inbound: InboundProxy,
         pool: Pool,
         clock: Clock,
+        crash_reports: CrashReports,
     ) -> None:
         """Starts without tries."""
+        self._crash_reports = crash_reports
         self.own_service = settings.hosts.service
         self._silence_ms = settings.hosts.silence_ms
         self._own_address = settings.advertise or settings.listen
@@ -84,6 +88,8 @@
             ``silence_ms``; the try continues
         :param may_wait: whether the call may join a queue at the server
         """
+        if self._crash_reports.standing(routed.request) is Standing.CONVICTED:
+            return self._crash_reports.refusal(routed.request)
         server = record.server
         self._placement.call_started(server)
         code = Code.UNKNOWN_BROKEN
@@ -115,6 +121,7 @@
         unresponsive, so it is not counted a second time.
         """
         if isinstance(outcome, ServerResponse):
+            self._crash_reports.record_answer(routed.request)
             self._placement.record_response_size(
                 routed.route.name, len(outcome.body)
             )
@@ -148,6 +155,8 @@
             caller=self.own_service,
             returning=routed.returning,
             may_wait=may_wait,
+            request=routed.request,
+            standing=self._crash_reports.standing(routed.request),
         )
 
     async def _forward(
@@ -212,6 +221,10 @@
     ) -> Outcome:
         self._record_load(server, response.header(LOAD_HEADER))
         outcome = self._decode_outcome(response, body)
+        try:
+            self._crash_reports.merge_header(response.header(REPORT_HEADER))
+        except msgspec.MsgspecError as exc:
+            self._log_bad_header(server, 'crash report', exc)
         try:
             told = decode_notice(response.header(NOTICE_HEADER))
         except msgspec.MsgspecError as exc:
--- a/papayalock/result.py
+++ b/papayalock/result.py
@@ -23,6 +23,7 @@
     NOT_CONNECTED = 112
     NOT_CONFIGURED = 113
     OTHER_SERVER = 114
+    QUARANTINED = 115
     # Calls: the request may have run.
     UNKNOWN_TIMEOUT = 200
     UNKNOWN_BROKEN = 201
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -171,6 +171,13 @@
     Listeners and limits for calls routed by host and path.
     """
 
+    digest_key: Annotated[
+        str,
+        Meta(
+            description='Secret with which nodes digest requests; the same on all nodes.',
+            max_length=64,
+        ),
+    ]
     outbound: Annotated[
         str,
         Meta(
--- a/papayalock/ui/__init__.py
+++ b/papayalock/ui/__init__.py
@@ -1,38 +1,26 @@
 """The ``papayalock`` command-line tool; each command is a module here."""
 
 import argparse
+import importlib
 import sys
 
 from papayalock.result import Code, PapayalockError
-from papayalock.ui import (
-    audit,
-    check,
-    diff,
-    drain,
-    explain,
-    held,
-    member,
-    show,
-    status,
-    submit,
-    trace,
-    versions,
-)
 
 COMMANDS = (
-    check,
-    submit,
-    versions,
-    show,
-    diff,
-    status,
-    explain,
-    held,
-    audit,
-    drain,
-    member,
-    trace,
-)
+    'check',
+    'submit',
+    'versions',
+    'show',
+    'diff',
+    'status',
+    'explain',
+    'held',
+    'audit',
+    'drain',
+    'crashes',
+    'member',
+    'trace',
+)  # modules of this package
 EXIT_USAGE = 2
 EXIT_BY_CODE = {
     Code.DONE: 0,
@@ -58,8 +46,8 @@
         help='control VMs, tried in order (default %(default)s)',
     )
     commands = parser.add_subparsers(dest='command', required=True)
-    for module in COMMANDS:
-        name = module.__name__.rpartition('.')[2]
+    for name in COMMANDS:
+        module = importlib.import_module(f'{__name__}.{name}')
         sub = commands.add_parser(
             name,
             help=module.HELP,
--- a/test/hostmesh.py
+++ b/test/hostmesh.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 from papayalock.config import make_settings
@@ -11,6 +11,7 @@
 from papayalock.core.placement import Placement
 from papayalock.httpclient import ClientConn, TransportError
 from papayalock.native import CALL_HEADER, REMAINING_HEADER, NativeCalls
+from papayalock.node.crashparts import CrashParts
 from papayalock.node.http import Call, Reply
 from papayalock.node.inbound import InboundProxy
 from papayalock.node.lag import LoopLag
@@ -30,6 +31,7 @@
 SERVICE_S = 0.1
 SLOTS = 6
 BORN_MS = 1000
+DEADLY_PATH = b'/r/deadly'
 
 
 class PipeTransport(FakeTransport):
@@ -83,9 +85,18 @@
     async def acquire(self, address: str, *, fresh: bool = False) -> ClientConn:
         server = self.servers.get(address)
         if server is None:
-            raise TransportError(Code.NOT_CONNECTED, address, sent=False)
+            raise TransportError(
+                Code.NOT_CONNECTED, address, sent=False
+            ) from ConnectionRefusedError(address)
         return connect(server)
 
+    async def exchange(self, address, req, timeout_ms, limit):
+        conn = await self.acquire(address)
+        response = await conn.call(req, timeout_ms)
+        body = await response.read_all(limit)
+        conn.close()
+        return response.status, body
+
     def release(self, address: str, conn: ClientConn) -> None:
         conn.close()
 
@@ -101,9 +112,12 @@
         self.arrivals: list[float] = []
         self.completed = 0
         self.hangs = False
+        self.on_deadly: Callable[[], None] | None = None
 
     async def handle(self, call: Call, reply: Reply) -> None:
         self.arrivals.append(asyncio.get_running_loop().time())
+        if call.target.startswith(DEADLY_PATH) and self.on_deadly:
+            self.on_deadly()
         await asyncio.sleep(float('inf') if self.hangs else SERVICE_S)
         self.completed += 1
         name = (CALL_HEADER, call.header(CALL_HEADER))
@@ -153,6 +167,14 @@
         )
         self.agent = FakeAgent(self.address, number)
         self.monitor = BackendMonitor(lease_ms=10**9, drain_ms=2000)
+        self.crashes = CrashParts(
+            self.agent.placement,
+            MemoryPool(mesh.gates),
+            self.address,
+            clock,
+            random.Random(number),
+        )
+        self.crash_reports = self.crashes.reports
         self.gate = ServerGate()
         self.inbound = InboundProxy(
             self.monitor,
@@ -163,6 +185,7 @@
             clock,
             settings.hosts.alive_ms,
             LoopLag(SWEEP_S),
+            self.crash_reports,
         )
         self.outbound = OutboundProxy(
             settings,
@@ -175,9 +198,12 @@
             LoopLag(SWEEP_S),
             self.gate.shutdown_times,
             random.Random(number),
+            self.crash_reports,
         )
         limits = ServerLimits(65536, 65536, 4096)
-        mesh.gates[self.address] = HttpServer(self.inbound.handle, limits)
+        mesh.gates[self.address] = HttpServer(
+            self.crashes.exchange_or(self.inbound.handle), limits
+        )
 
     def announce(self) -> None:
         """Records the first heartbeat of the server beside the node."""
@@ -210,6 +236,7 @@
             self.backends[f'i-{number}'] = HttpServer(server.handle, limits)
         self.nodes = [MeshNode(self, number) for number in range(size)]
         self.outcomes: list[Outcome] = []
+        self.crashed_at: list[float] = []
         for node in self.nodes:
             node.beat(1, born_ms)
             self.introduce(node)
@@ -252,6 +279,37 @@
         node.name = name
         self.introduce(node)
 
+    def make_deadly(self, down_s: float) -> None:
+        """Has requests to ``DEADLY_PATH`` crash each server that runs them.
+
+        :param down_s: time until the server is back, under a new name
+        """
+        for number in range(len(self.nodes)):
+            self._arm(number, down_s)
+
+    def _arm(self, number: int, down_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        address = self.nodes[number].backend_address
+
+        def crash() -> None:
+            self.crashed_at.append(loop.time())
+            for conn in list(self.backends.pop(address).conns):
+                conn.abort()
+            loop.call_later(down_s, come_back)
+
+        def come_back() -> None:
+            self.start_server(number, f'i-{number}-{len(self.crashed_at)}')
+            self.nodes[number].beat(1, 0)
+            self._arm(number, down_s)
+
+        self.servers[number].on_deadly = crash
+
+    async def gossip(self) -> None:
+        """Exchanges crash reports until cancelled."""
+        await asyncio.gather(
+            *(node.crashes.gossip.run() for node in self.nodes)
+        )
+
     async def load(
         self, per_s: float, seconds: float, at: Sequence[int] = ()
     ) -> None:
--- a/test/test_endless.py
+++ b/test/test_endless.py
@@ -18,6 +18,7 @@
 from papayalock.core.heartbeats import BackendMonitor
 from papayalock.httpclient import Request, TransportError
 from papayalock.native import NativeCalls
+from papayalock.node.crashreports import CrashReports
 from papayalock.node.http import Call
 from papayalock.node.inbound import InboundProxy
 from papayalock.node.lag import LoopLag
@@ -170,6 +171,7 @@
             clock,
             60,
             LoopLag(0.25),
+            CrashReports(clock),
         )
         self.inbound.update_slots()
 
--- a/test/test_inbound.py
+++ b/test/test_inbound.py
@@ -8,6 +8,7 @@
 from papayalock.core.heartbeats import BackendMonitor
 from papayalock.messages import HopOrder
 from papayalock.native import NativeCalls
+from papayalock.node.crashreports import CrashReports
 from papayalock.node.http import Call, Reply
 from papayalock.node.inbound import InboundProxy
 from papayalock.node.lag import LoopLag
@@ -62,6 +63,7 @@
             self.clock,
             60,
             self.lag,
+            CrashReports(self.clock),
         )
         self.inbound.update_slots()
 
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -8,6 +8,7 @@
 from papayalock.core.shutdowntimes import ShutdownTimes
 from papayalock.httpclient import ClientConn
 from papayalock.native import CALL_HEADER, REMAINING_HEADER, NativeCalls
+from papayalock.node.crashreports import CrashReports
 from papayalock.node.http import Call
 from papayalock.node.lag import LoopLag
 from papayalock.node.outbound import OutboundProxy
@@ -133,6 +134,7 @@
             LoopLag(0.25),
             self.shutdown_times,
             random.Random(1),
+            CrashReports(LoopClock()),
         )
 
     async def call(self, deadline_ms: int = 1000, body: bytes = b''):
