Name the quarantined request and its route in the lines of refused calls

A refused call of a quarantined request was logged without its route and digest, so an operator could not get from the line to `papayalock crashes`. The check before routing is gone; the one before each try refuses such a call just as fast and its line has the route, the tries and the digest.

--- a/papayalock/node/crashreports.py
+++ b/papayalock/node/crashreports.py
@@ -55,7 +55,7 @@
         left_s = self.ledger.verdict_left_s(request, self._clock.monotonic())
         return NoResponse(
             Code.QUARANTINED,
-            'backend servers ended under this request',
+            f'backend servers ended under request {request}',
             int(left_s * MS_PER_S),
         )
 
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -1,7 +1,7 @@
 """The outbound proxy of a node with host routing: runs the calls of its VM."""
 
 from papayalock.core.budget import SharedBudget
-from papayalock.core.crashes import Standing, request_digest
+from papayalock.core.crashes import request_digest
 from papayalock.core.hedging import (
     FREE_SLOT_SEARCH_SHARE,
     CallProgress,
@@ -61,7 +61,6 @@
         self.try_runner = TryRunner(
             settings, agent.placement, inbound, pool, clock, crash_reports
         )
-        self._crash_reports = crash_reports
         self._digest_key = settings.hosts.digest_key.encode()
         self._dialect = dialect
         self._clock = clock
@@ -119,8 +118,6 @@
             routed.deadline_at, routed.arrived_at
         ):
             return NoResponse(Code.DRAINING, 'the node stops', RETRY_AFTER_MS)
-        if self._crash_reports.standing(routed.request) is Standing.CONVICTED:
-            return self._crash_reports.refusal(routed.request)
         return routed
 
     def _apply_route(self, call: Call, route: HostRoute) -> RoutedCall:
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import random
 
 import msgspec
@@ -283,6 +284,20 @@
         assert set(codes[3:]) == {Code.QUARANTINED}
         assert scene.deadly[-1].retry_after_ms > 500_000
 
+    def test_a_refused_call_is_logged_with_its_route_and_request(self, caplog):
+        with caplog.at_level(logging.INFO):
+            play(DeadlyScene().play(4))
+        refused = [
+            one for one in caplog.records if one.message == 'call refused'
+        ]
+        assert refused[-1].route == 'r'
+        quarantined = next(
+            one
+            for one in caplog.records
+            if one.message == 'request quarantined'
+        )
+        assert quarantined.request in refused[-1].reason
+
     def test_the_calls_beside_it_are_served(self):
         mesh = play(DeadlyScene().play())
         served = [isinstance(one, ServerResponse) for one in mesh.outcomes]
