Take a notice of a hedged call as that of the server that answered

The call node-ledger-1-2-59 was hedged: it ran at desk-2, which was leaving and whose answer reached the caller at 2096.597, and at desk-3, whose run ended at 2096.628. The check took a call's last run for the one that answered.

A response is now that of the one run that had completed when it arrived; if several had, it tells of none. Every other case is judged as before. test_a_hedged_call_tells_only_of_the_server_that_answered failed before.

--- a/bench/soak/noticechecks.py
+++ b/bench/soak/noticechecks.py
@@ -64,16 +64,27 @@
 
 def _heard(history: History, records: list[CallRecord]) -> Heard:
     """Returns when each node passed on a response of each server."""
-    server_by_call = {run.call: run.server for run in history.runs}
+    runs_by_call: dict[str, list[Run]] = {}
+    for run in history.runs:
+        runs_by_call.setdefault(run.call, []).append(run)
     heard: Heard = {}
     for record in sorted(records, key=lambda one: one.ended):
-        server = server_by_call.get(record.call)
+        server = _answering_server(record, runs_by_call.get(record.call, []))
         if server is not None:
             times = heard.setdefault((server, record.node), [])
             times.append(record.ended)
     return heard
 
 
+def _answering_server(record: CallRecord, runs: list[Run]) -> str | None:
+    """Returns the server of a response; None if several may have sent it.
+
+    A hedged call runs at several servers, one of which answered.
+    """
+    completed = [run.server for run in runs if run.completed_by(record.ended)]
+    return completed[0] if len(completed) == 1 else None
+
+
 def _limited_periods(
     history: History,
 ) -> Iterator[tuple[str, float, float, float]]:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -508,6 +508,17 @@
         )
         assert [line.split(':')[0] for line in found] == kinds
 
+    def test_a_hedged_call_tells_only_of_the_server_that_answered(self):
+        told = call_record('c-1', ended=100.0, leaving=True)
+        late = call_record('c-2', sent=102.5, ended=102.6)
+        runs = [
+            run_of(told, at=99.9, server='s-2'),
+            run_of(told, at=99.95, server='s-1', ended=100.02),
+            run_of(late, at=102.55, server='s-1'),
+        ]
+        history = make_history([told, late], runs)
+        assert not list(checks.check_leaving_servers_get_no_calls(history))
+
     def limited(self, per_s, **more):
         """Returns 10 s of calls to a server that states a limit of 2."""
         records = [
