Tell a server that has ended from a full one, and spread less

Servers there reset or refuse connections when they are full, so a refused probe was taken for the end of a server that ran on; each time its running requests became suspects, were cleared by their answers, and all of that was sent to eight nodes and on from there.

A server has ended only if a new connection is refused and all calls that ran at that time break off within 20 ms. Evidence goes to 4 nodes, at most every 50 ms; clearances travel with the comparisons; suspicions without a verdict end after 120 s. test_a_server_that_runs_other_calls_has_not_ended failed before.

--- a/papayalock/core/crashes.py
+++ b/papayalock/core/crashes.py
@@ -25,6 +25,7 @@
 CONFIRMING_WEIGHT = 2  # of an end under a request that was the only suspect
 ISOLATING_WEIGHT = 2
 VERDICT_S = 600.0  # from the last end on; a suspect again for as long after it
+SUSPICION_S = 120.0  # from the last end on, without a verdict
 MAX_REQUESTS = 256
 MAX_ENDS = 8  # per request
 MS_PER_S = 1000
@@ -78,6 +79,10 @@
             for end in self.ends.values()
         )
 
+    def lifetime_s(self) -> float:
+        """Returns the seconds from the last end on in which it counts."""
+        return 2 * VERDICT_S if self.confirmed else SUSPICION_S
+
     def add(self, end: ServerEnd, at: float) -> bool:
         """Merges one end; returns whether anything changed."""
         known = self.ends.get(end.start)
@@ -126,7 +131,7 @@
             return Standing.CLEAR
         weight = evidence.weight
         age = now - evidence.last_end_at
-        if not weight or age >= 2 * VERDICT_S:
+        if not weight or age >= evidence.lifetime_s():
             return Standing.CLEAR
         if evidence.confirmed and age < VERDICT_S:
             return Standing.CONVICTED
@@ -224,7 +229,7 @@
         expired = [
             request
             for request, evidence in self._evidence.items()
-            if now - evidence.last_end_at >= 2 * VERDICT_S
+            if now - evidence.last_end_at >= evidence.lifetime_s()
         ]
         for request in expired:
             self._evidence.pop(request)
--- a/papayalock/core/unanswered.py
+++ b/papayalock/core/unanswered.py
@@ -3,7 +3,7 @@
 When the server ends, they are the ones that may have caused it.
 """
 
-from collections import Counter
+import itertools
 
 MAX_GIVEN_UP = 32
 # A response may be read this long after the end of the server that sent it, so
@@ -14,29 +14,35 @@
 class UnansweredRequests:
     """The requests sent to one start of a server and not answered by it."""
 
-    __slots__ = ('_given_up', '_running')
+    __slots__ = ('_given_up', '_numbers', '_running')
 
     def __init__(self) -> None:
         """Starts without requests."""
-        self._running: Counter[str] = Counter()
+        self._numbers = itertools.count()
+        self._running: dict[int, str] = {}
         self._given_up: dict[str, float] = {}
 
-    def start(self, request: str) -> None:
-        """Counts a request that is being sent.
+    @property
+    def running(self) -> frozenset[int]:
+        """The numbers of the requests that run."""
+        return frozenset(self._running)
+
+    def start(self, request: str) -> int:
+        """Counts a request that is being sent, and returns its number.
 
         :param request: its digest
         """
-        self._running[request] += 1
+        number = next(self._numbers)
+        self._running[number] = request
+        return number
 
-    def finish(self, request: str, now: float, *, answered: bool) -> None:
+    def finish(self, number: int, now: float, *, answered: bool) -> None:
         """Counts the end of a request.
 
         Any response shows that the server still runs, so it has survived the
         requests that were given up before.
         """
-        self._running[request] -= 1
-        if not self._running[request]:
-            self._running.pop(request)
+        request = self._running.pop(number)
         if answered:
             self._given_up = {
                 name: at
@@ -51,6 +57,6 @@
 
         The connections of the running ones are about to fail.
         """
-        requests = [*self._running, *self._given_up]
+        requests = [*self._running.values(), *self._given_up]
         self._given_up = {}
         return list(dict.fromkeys(requests))
--- a/papayalock/node/crashgossip.py
+++ b/papayalock/node/crashgossip.py
@@ -1,8 +1,9 @@
 """Spreads crash reports between nodes, without control VMs.
 
-A node that learns something sends it to a few others, which pass it on if it
-is new to them too. While there are reports, each node compares a digest with
-random others, so that a node that was cut off or has just started catches up.
+A node that learns of the end of a server tells a few others, which pass it on
+if it is new to them too. While there are reports, each node compares a digest
+with random others, so that clearances spread, and a node that was cut off or
+has just started catches up.
 """
 
 import asyncio
@@ -23,7 +24,8 @@
 
 log = logging.getLogger(__name__)
 
-FANOUT = 8  # nodes that a change is sent to
+FANOUT = 4  # nodes that new evidence is sent to
+MIN_SEND_INTERVAL_S = 0.05
 COMPARED_NODES = 2  # in each interval
 COMPARE_INTERVAL_S = 1.0
 START_COMPARISONS = 5  # of a node that knows nothing yet
@@ -60,7 +62,7 @@
         self._wake_requested = asyncio.Event()
         self._comparisons_left = START_COMPARISONS
         self._tasks: set[asyncio.Task[None]] = set()
-        reports.on_changed.append(self._on_changed)
+        reports.on_evidence.append(self._on_evidence)
 
     async def run(self) -> None:
         """Exchanges reports until cancelled."""
@@ -72,6 +74,7 @@
                 self._compare()
             else:
                 self._send_changes()
+                await asyncio.sleep(MIN_SEND_INTERVAL_S)
 
     async def handle(self, call: Call, reply: Reply) -> None:
         """Answers another node with the reports that it may lack."""
@@ -87,7 +90,7 @@
         headers = [(b'content-type', b'application/json')]
         reply.send(OK, headers, msgspec.json.encode(own))
 
-    def _on_changed(self, requests: list[str]) -> None:
+    def _on_evidence(self, requests: list[str]) -> None:
         self._changed.update(dict.fromkeys(requests))
         self._wake_requested.set()
 
--- a/papayalock/node/crashreports.py
+++ b/papayalock/node/crashreports.py
@@ -24,14 +24,17 @@
 
 
 class CrashReports:
-    """The node's ledger of crashes; notifies listeners of what is new."""
+    """The node's ledger of crashes; notifies listeners of new evidence.
 
-    __slots__ = ('_clock', 'ledger', 'on_changed')
+    That a request was cleared is not urgent, so it comes without notice.
+    """
+
+    __slots__ = ('_clock', 'ledger', 'on_evidence')
 
     def __init__(self, clock: Clock) -> None:
         """Starts without reports; the owner adds the listeners."""
         self.ledger = CrashLedger()
-        self.on_changed: list[Listener] = []
+        self.on_evidence: list[Listener] = []
         self._clock = clock
 
     def standing(self, request: str) -> Standing:
@@ -78,8 +81,7 @@
 
     def record_answer(self, request: str) -> None:
         """Clears a request that a server has run and answered."""
-        if self.ledger.refute(request):
-            self._notify([request])
+        self.ledger.refute(request)
 
     def lift(self, request: str) -> bool:
         """Clears a request by order of an operator.
@@ -118,5 +120,5 @@
             standing = self.standing(request)
             if standing is Standing.CONVICTED:
                 log.warning('request quarantined', extra={'request': request})
-        for notify in self.on_changed:
+        for notify in self.on_evidence:
             notify(requests)
--- a/papayalock/node/crashwatch.py
+++ b/papayalock/node/crashwatch.py
@@ -1,11 +1,13 @@
 """Finds out when the local backend server ends, and under which requests.
 
 A broken connection alone does not show it: servers also reset connections
-while they run. When a new connection is refused too, the process has ended.
-A server that ends silently is noticed when its next start announces itself.
+while they run, and a full one may refuse new ones. The process has ended when
+a new connection is refused and all calls that it ran break off. A server that
+ends silently is noticed when its next start announces itself.
 """
 
 import asyncio
+from dataclasses import dataclass
 
 from papayalock.core.heartbeats import BackendMonitor
 from papayalock.core.serverstarts import ServerStart, start_of
@@ -18,6 +20,16 @@
 
 # The reply to a call waits this long, so that it can tell the calling node.
 MAX_CHECK_S = 0.05
+BREAK_OFF_S = 0.02  # until all connections of a process that ended are lost
+
+
+@dataclass(slots=True, frozen=True)
+class SentRequest:
+    """A request at the server, and the start of the server that got it."""
+
+    request: str  # digest
+    number: int
+    start: UnansweredRequests
 
 
 class CrashWatch:
@@ -49,32 +61,30 @@
         self._unanswered = UnansweredRequests()
         self._ended_at = None
 
-    def record_sent(self, request: str) -> UnansweredRequests:
+    def record_sent(self, request: str) -> SentRequest:
         """Counts a request that is being sent to the server.
 
-        :returns: the requests of the present start, for :meth:`record_answered`
-            and :meth:`record_given_up`
+        :param request: its digest
         """
-        self._unanswered.start(request)
-        return self._unanswered
+        number = self._unanswered.start(request)
+        return SentRequest(request, number, self._unanswered)
 
-    def record_answered(
-        self, sent: UnansweredRequests, request: str, *, ran: bool
-    ) -> None:
+    def record_answered(self, sent: SentRequest, *, ran: bool) -> None:
         """Counts a response of the server.
 
         :param ran: whether the server ran the request
         """
         now = self._clock.monotonic()
-        sent.finish(request, now, answered=True)
+        sent.start.finish(sent.number, now, answered=True)
         if self._ended_at is not None and now - self._ended_at > READ_DELAY_S:
             self._ended_at = None
         if ran:
-            self._reports.record_answer(request)
+            self._reports.record_answer(sent.request)
 
-    def record_given_up(self, sent: UnansweredRequests, request: str) -> None:
+    def record_given_up(self, sent: SentRequest) -> None:
         """Counts a request that ended without a response."""
-        sent.finish(request, self._clock.monotonic(), answered=False)
+        now = self._clock.monotonic()
+        sent.start.finish(sent.number, now, answered=False)
 
     async def check(self, serving: Announcement) -> None:
         """Finds out whether the server has ended, after a connection broke.
@@ -88,17 +98,26 @@
         await asyncio.wait({self._probe}, timeout=MAX_CHECK_S)
 
     async def _run_probe(self, serving: Announcement) -> None:
+        start = start_of(serving)
+        unanswered = self._unanswered
+        running = unanswered.running
         try:
-            conn = await self._pool.acquire(serving.address, fresh=True)
-        except TransportError as exc:
-            refused = isinstance(exc.__cause__, ConnectionRefusedError)
-            start = start_of(serving)
-            if refused and self._is_current(start):
-                self._record_end(start)
-        else:
-            conn.close()
+            if not await self._is_refused(serving.address):
+                return
+            await asyncio.sleep(BREAK_OFF_S)
         finally:
             self._probe = None
+        all_broke_off = not running & unanswered.running
+        if all_broke_off and self._is_current(start):
+            self._record_end(start)
+
+    async def _is_refused(self, address: str) -> bool:
+        try:
+            conn = await self._pool.acquire(address, fresh=True)
+        except TransportError as exc:
+            return isinstance(exc.__cause__, ConnectionRefusedError)
+        conn.close()
+        return False
 
     def _is_current(self, start: ServerStart) -> bool:
         return self._start is not None and self._start.is_same(start)
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -294,19 +294,18 @@
         """
         watch = self._crash_watch
         sent = watch.record_sent(order.request)
-        answered = False
         try:
             outcome = await self._exchange(req, serving, order, remaining_ms)
-            answered = True
+        except asyncio.CancelledError:
+            watch.record_given_up(sent)
+            raise
         except TransportError as exc:
+            watch.record_given_up(sent)
             if exc.sent:
                 await watch.check(serving)
             raise
-        finally:
-            if not answered:
-                watch.record_given_up(sent, order.request)
         ran = isinstance(outcome, ServerResponse)
-        watch.record_answered(sent, order.request, ran=ran)
+        watch.record_answered(sent, ran=ran)
         return outcome
 
     def _request(self, call: Call, metadata: BackendMetadata) -> Request:
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -11,6 +11,7 @@
 from papayalock.core.admission import Job, ServerGate
 from papayalock.core.crashes import (
     MAX_REQUESTS,
+    SUSPICION_S,
     VERDICT_S,
     CrashLedger,
     Standing,
@@ -84,6 +85,13 @@
         assert ledger.standing('bad', 2 + VERDICT_S) is Standing.ISOLATED
         assert ledger.standing('bad', 2 + 2 * VERDICT_S) is Standing.CLEAR
 
+    def test_a_suspicion_without_a_verdict_ends_sooner(self):
+        ledger = CrashLedger()
+        ledger.record_end('a@1', ['x'], 0)
+        assert ledger.standing('x', SUSPICION_S) is Standing.CLEAR
+        ledger.drop_expired(SUSPICION_S)
+        assert not len(ledger)
+
     def test_a_verdict_outlives_many_suspects(self):
         ledger = convicted()
         for number in range(10 * MAX_REQUESTS):
@@ -155,28 +163,50 @@
     def test_running_and_given_up_requests_may_have_ended_the_server(self):
         requests = UnansweredRequests()
         requests.start('running')
-        requests.start('given-up')
-        requests.finish('given-up', 1, answered=False)
-        requests.start('answered')
-        requests.finish('answered', 1.05, answered=True)
+        given_up = requests.start('given-up')
+        requests.finish(given_up, 1, answered=False)
+        answered = requests.start('answered')
+        requests.finish(answered, 1.05, answered=True)
         assert requests.take_all() == ['running', 'given-up']
 
     def test_a_later_answer_shows_that_the_server_survived(self):
         requests = UnansweredRequests()
-        requests.start('given-up')
-        requests.finish('given-up', 1, answered=False)
-        requests.start('answered')
-        requests.finish('answered', 2, answered=True)
+        requests.finish(requests.start('given-up'), 1, answered=False)
+        requests.finish(requests.start('answered'), 2, answered=True)
         assert requests.take_all() == []
 
     def test_given_up_requests_are_bounded(self):
         requests = UnansweredRequests()
         for number in range(10 * MAX_GIVEN_UP):
-            requests.start(f'r{number}')
-            requests.finish(f'r{number}', 1, answered=False)
+            sent = requests.start(f'r{number}')
+            requests.finish(sent, 1, answered=False)
         assert len(requests.take_all()) == MAX_GIVEN_UP
 
 
+class TestFullServer:
+    """A full server resets or refuses connections, and runs on."""
+
+    async def suspects(self, *, running_ends: bool) -> int:
+        mesh = HostMesh(1, born_ms=0)
+        address = mesh.nodes[0].backend_address
+        calls = [
+            asyncio.ensure_future(mesh.call(0, b'/r/%d' % number))
+            for number in range(4)
+        ]
+        await asyncio.sleep(0.01)
+        conns = list(mesh.backends.pop(address).conns)
+        for conn in conns if running_ends else conns[:1]:
+            conn.abort()
+        await asyncio.gather(*calls)
+        return len(mesh.nodes[0].crash_reports.ledger)
+
+    def test_a_server_that_runs_other_calls_has_not_ended(self):
+        assert play(self.suspects(running_ends=False)) == 0
+
+    def test_a_server_all_of_whose_calls_broke_off_has_ended(self):
+        assert play(self.suspects(running_ends=True)) == 4
+
+
 class TestGate:
     def job(self, request: str, standing: Standing) -> Job:
         candidate = job(0)
