Restart servers under new names in the soak and the load model

Every second server of the soak now has a new name at each start and tells no start time, as on the users' platform. A check finds a server that has started and gets no call within 4 s while its service gets 40; another one a request that is quarantined, since none crashes servers there.

--- a/bench/loadmodel/model.py
+++ b/bench/loadmodel/model.py
@@ -11,6 +11,7 @@
 
 import simpy
 
+from bench.loadmodel.crashes import CrashingServer
 from bench.loadmodel.scenario import CallKind, Scenario, ServerFault
 from bench.loadmodel.servers import SimProcess, SimulatedServer
 from papayalock.core.admission import Job, ServerGate
@@ -156,6 +157,12 @@
                     self.env.process(self._generate_calls(kind, zone))
         for fault in self._scenario.losses:
             self.env.process(self._apply_fault(fault))
+        for crash in self._scenario.crashes:
+            for server in self._servers_of(crash.service)[: crash.count]:
+                process = CrashingServer(
+                    self.env, server, crash, self._scenario.seconds
+                )
+                self.env.process(process.run())
         self.env.run(self._scenario.seconds + 5)
         return self.result
 
@@ -205,15 +212,16 @@
 
     def _apply_fault(self, fault: ServerFault) -> SimProcess:
         yield self.env.timeout(fault.at)
-        affected = [
-            server for server in self.servers if server.service == fault.service
-        ]
+        affected = self._servers_of(fault.service)
         for server in affected[: fault.count]:
             server.slowdown = fault.slower
         yield self.env.timeout(fault.for_s)
         for server in affected[: fault.count]:
             server.slowdown = 1.0
 
+    def _servers_of(self, service: str) -> list[SimulatedServer]:
+        return [server for server in self.servers if server.service == service]
+
     # Callers.
 
     def _run_caller(self, kind: CallKind, node: Node) -> SimProcess:
@@ -399,8 +407,9 @@
                 return False
         work_s = server.random_work_s(kind, self.rng)
         time_left = job.deadline_at - self.env.now
-        yield self.env.timeout(max(0.0, min(work_s, time_left)))
-        return work_s <= time_left
+        end = self.env.timeout(max(0.0, min(work_s, time_left)))
+        yield end | server.crashed
+        return end.processed and work_s <= time_left
 
     def _run_inner_calls(
         self, name: str, times: int, server: SimulatedServer, job: Job
--- a/bench/loadmodel/scenario.py
+++ b/bench/loadmodel/scenario.py
@@ -74,6 +74,19 @@
     slower: Positive = 1e9
 
 
+class ServerCrash(Struct, forbid_unknown_fields=True):
+    """A crash of some servers of a service, which return under new names.
+
+    They tell no start time, and had been up for ``up_s`` before the run.
+    """
+
+    at: Annotated[float, Meta(ge=0)]
+    service: str
+    count: Annotated[int, Meta(ge=1)]
+    for_s: Positive
+    up_s: Annotated[float, Meta(ge=0)] = 0.0
+
+
 class Scenario(Struct, forbid_unknown_fields=True):
     """A deployment and the traffic to simulate on it."""
 
@@ -85,6 +98,7 @@
     hop_ms: Positive = 0.3  # mean time in the nodes, in each direction of a hop
     bursts: list[Burst] = field(default_factory=list)
     losses: list[ServerFault] = field(default_factory=list)
+    crashes: list[ServerCrash] = field(default_factory=list)
 
 
 def read_scenario(path: Path) -> Scenario:
--- a/bench/loadmodel/servers.py
+++ b/bench/loadmodel/servers.py
@@ -36,6 +36,7 @@
         self.speed = speed
         self.slowdown = 1.0
         self.gate = gate
+        self.crashed = env.event()
         self._env = env
         self._waiting: dict[Job, simpy.Event] = {}
 
@@ -44,6 +45,14 @@
         """Whether a fault slows the server down."""
         return self.slowdown > 1
 
+    def crash(self) -> None:
+        """Ends the calls that run, and refuses those that wait."""
+        self.gate.slots = 0
+        self.crashed.succeed()
+        self.crashed = self._env.event()
+        for job in list(self._waiting):
+            self._wake(job, Code.NO_SERVER)
+
     def acquire_slot(self, job: Job) -> SimProcess:
         """Waits for a slot; returns None, or the refusal if it gets none."""
         admission = self.gate.submit(job, self._env.now)
--- a/bench/soak/backend.py
+++ b/bench/soak/backend.py
@@ -3,6 +3,7 @@
 SIGUSR1 makes it drain: its responses say that it leaves, and half of the time
 it also announces that it drains and records when the node has acknowledged
 this; it still runs the calls that arrive. From time to time it states a limit.
+With ``--renamed`` it has a new name at each start and tells no start time.
 """
 
 import argparse
@@ -54,6 +55,9 @@
         self._args = args
         self._started_ms = int(time.time() * 1000)
         self._incarnation = f'{args.name}@{self._started_ms}'
+        renamed = bool(args.renamed)
+        self._name = f'{args.name}-{self._started_ms}' if renamed else args.name
+        self._born_ms = 0 if renamed else self._started_ms
         self._runs = 0
         self._sequence = 0
         self._draining = False
@@ -78,7 +82,7 @@
         path = call.target.decode()
         if path == '/health':
             status = UNAVAILABLE if self._draining else OK
-            name = self._args.name.encode()
+            name = self._name.encode()
             headers = [(SERVER_HEADER, name), *self._notice_headers()]
             reply.send(status, headers, b'')
             return
@@ -161,12 +165,12 @@
         self._sequence += 1
         draining = self._draining and self._announces_drain
         message = Announcement(
-            server=self._args.name,
+            server=self._name,
             service=self._args.service,
             address=self._args.advertise,
             draining=draining,
             slots=self._args.slots,
-            born_ms=self._started_ms,
+            born_ms=self._born_ms,
             sequence=self._sequence,
         )
         try:
@@ -211,6 +215,7 @@
         parser.add_argument(f'--{name}', required=True)
     parser.add_argument('--outbound', required=True)
     parser.add_argument('--book', required=True, type=Path)
+    parser.add_argument('--renamed', default='')
     parser.add_argument('--slots', type=int, default=6)
     parser.add_argument('--seed', type=int, default=1)
     uvloop.install()
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -10,6 +10,10 @@
     check_leaving_servers_get_no_calls,
     check_stated_limits_hold,
 )
+from bench.soak.startchecks import (
+    check_harmless_requests_are_not_quarantined,
+    check_restarted_servers_get_calls,
+)
 from papayalock.result import Code
 
 MAX_APPLY_S = 2.0  # from the acknowledgement of a version until nodes apply it
@@ -343,6 +347,7 @@
     check_permanent_routes_never_denied,
     check_failures_are_logged,
     check_processes_stay_up,
+    check_harmless_requests_are_not_quarantined,
 )
 TIMED_CHECKS: tuple[Check, ...] = (
     check_reads_are_fresh,
@@ -356,6 +361,7 @@
     check_deadlines_hold,
     check_retries_within_budget,
     check_service_recovers,
+    check_restarted_servers_get_calls,
 )
 
 
--- a/bench/soak/cluster.py
+++ b/bench/soak/cluster.py
@@ -290,6 +290,7 @@
             'announce': announce,
             'outbound': self.outbound[node],
             'book': str(self.folder / 'book.jsonl'),
+            'renamed': self._renamed_mark(server),
         }
         arguments = [f'--{key}={text}' for key, text in options.items()]
         command = [sys.executable, '-m', 'bench.soak.backend', *arguments]
@@ -297,6 +298,11 @@
             server, command, self.folder / f'{server}.log'
         )
 
+    def _renamed_mark(self, server: str) -> str:
+        """Returns a text for every second server, which changes its name."""
+        is_odd = list(self._servers).index(server) % 2
+        return 'yes' if is_odd else ''
+
     def _launch_daemon(self, name: str, document: dict[str, object]) -> None:
         self.processes[name] = start_daemon(self.folder, name, document)
         self.starts[name] = [time.monotonic()]
--- a/test/test_loadmodel.py
+++ b/test/test_loadmodel.py
@@ -9,6 +9,7 @@
     Burst,
     ServerFault,
     Scenario,
+    ServerCrash,
     read_bundled_scenario,
     read_scenario,
 )
@@ -159,3 +160,19 @@
             present > simulate(name, variant='lot, fifo', **changes).worth_share
         )
         assert present > simulate(name, variant='fifo', **changes).worth_share
+
+
+class TestCrashes:
+    """Half of a service crashes at 2 s, and is back at 4 s."""
+
+    @pytest.mark.parametrize('seed', [1, 2])
+    def test_callers_are_served_once_crashed_servers_are_back(self, seed):
+        crash = ServerCrash(
+            at=2, service='auction-floor', count=3, for_s=2, up_s=3600
+        )
+        result = simulate(seed=seed, crashes=[crash])
+        back = [result.by_second[second] for second in range(5, 10)]
+        calls = sum(tally.calls for tally in back)
+        served = sum(tally.in_time + tally.late for tally in back)
+        assert served > 0.97 * calls
+        assert served_share(result.by_second[2]) < 0.95
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bench.soak import checks
+from bench.soak import checks, startchecks
 from bench.soak.__main__ import kept_seeds
 from bench.soak.callers import DEADLINES_MS, MS_PER_S
 from bench.soak.cluster import PLANNED_KINDS, STOP_GRACE_S
@@ -545,3 +545,51 @@
         spans = [Disturbance('node-a', 101.0, 101.5)]
         history = self.limited(5, spans=spans)
         assert not list(checks.check_stated_limits_hold(history))
+
+
+class TestRestartedServers:
+    """A server starts at 100 s while its service gets a call each 0.05 s."""
+
+    def history(self, *, gets_calls: bool, **changes) -> History:
+        server = 's-1@5' if gets_calls else 's-2@1'
+        runs = [
+            Run(f'c-{number}', '/look/1', server, 'desk', 100 + number / 20)
+            for number in range(80)
+        ]
+        runs.append(Run('c-0', '/look/1', 's-1@4', 'desk', 90))
+        fields = {'control': ['control-a'], 'ended': 200.0, **changes}
+        return History(runs=runs, starts={'s-1': [100.0]}, **fields)
+
+    def found(self, **changes) -> list[str]:
+        return list(
+            startchecks.check_restarted_servers_get_calls(
+                self.history(**changes)
+            )
+        )
+
+    def test_a_server_that_stays_unused_is_found(self):
+        lines = self.found(gets_calls=False)
+        assert lines == ['unused: s-1 got no call since its start 100.00']
+        assert self.found(gets_calls=True) == []
+
+    def test_its_own_restart_is_no_excuse(self):
+        killed = Disturbance('s-1', 97.0, 100.02, stops=True)
+        assert self.found(gets_calls=False, spans=[killed])
+
+    @pytest.mark.parametrize(
+        'span',
+        [
+            Disturbance('s-1', 101.0, 102.0, stops=True),
+            Disturbance('node-s-1', 98.0, 99.0),
+            Disturbance('control-a', 102.0, 103.0),
+        ],
+    )
+    def test_another_fault_on_the_way_is_an_excuse(self, span):
+        assert self.found(gets_calls=False, spans=[span]) == []
+
+    def test_a_quarantined_request_is_found(self):
+        record = call_record(status=503, code=Code.QUARANTINED)
+        history = History(control=[], attempts=[record])
+        assert list(
+            startchecks.check_harmless_requests_are_not_quarantined(history)
+        )
