Suspect nothing when a server ends that had said that it leaves

A new start cleared the drain of the former one before its end was looked at, so calls given up at a server that left as planned became suspects, and ran beside no other suspect for two minutes at the most. Found by reading; the monitor now keeps whether the former start had said that it leaves. test_a_server_that_had_said_that_it_leaves_was_not_crashed failed before.

Beside it, without a change of behaviour: a call to the server counts as given up whatever ends it, so that no kind of error can leave it counted as running.

--- a/papayalock/core/heartbeats.py
+++ b/papayalock/core/heartbeats.py
@@ -45,6 +45,7 @@
         'changed_sequence',
         'draining_since',
         'dropped',
+        'former_left',
         'lease_until',
         'limit',
     )
@@ -62,6 +63,7 @@
         self.changed_sequence = 0
         self.limit: float | None = None  # requests per second; None for none
         self.dropped: Counter[DropReason] = Counter()
+        self.former_left = False  # whether the former start had said it leaves
         self._history = StartHistory()
         self._limit_stated_at = float('-inf')
         self._has_notice = False  # whether this start has sent a response
@@ -222,6 +224,7 @@
 
     def _forget_start(self) -> None:
         """Clears the state that ended with the previous start of the server."""
+        self.former_left = self.draining_since is not None
         self.draining_since = None
         self.limit = None
         self._limit_stated_at = float('-inf')
--- a/papayalock/node/crashwatch.py
+++ b/papayalock/node/crashwatch.py
@@ -56,8 +56,9 @@
         """Follows a new start of the server; the former one has ended."""
         former = self._start
         self._start = start
-        if former is not None and self._ended_at is None:
-            self._record_end(former)
+        is_noticed = self._ended_at is not None
+        if former is not None and not is_noticed:
+            self._record_end(former, left=self._monitor.former_left)
         self._unanswered = UnansweredRequests()
         self._ended_at = None
 
@@ -109,7 +110,7 @@
             self._probe = None
         all_broke_off = not running & unanswered.running
         if all_broke_off and self._is_current(start):
-            self._record_end(start)
+            self._record_end(start, left=self._monitor.is_draining())
 
     async def _is_refused(self, address: str) -> bool:
         try:
@@ -122,8 +123,9 @@
     def _is_current(self, start: ServerStart) -> bool:
         return self._start is not None and self._start.is_same(start)
 
-    def _record_end(self, start: ServerStart) -> None:
+    def _record_end(self, start: ServerStart, *, left: bool) -> None:
+        """Reports the end of a server, unless it had said that it leaves."""
         self._ended_at = self._clock.monotonic()
         requests = [name for name in self._unanswered.take_all() if name]
-        if requests and not self._monitor.is_draining():
+        if requests and not left:
             self._reports.record_end(start, requests)
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -273,6 +273,8 @@
         try:
             outcome = await self._run_watched(req, serving, order, remaining_ms)
         except TransportError as exc:
+            if exc.sent:
+                await self._crash_watch.check(serving)
             self._gate.record_outcome(failed=True)
             return NoResponse(exc.code, str(exc), arrived=exc.sent)
         if isinstance(outcome, ServerResponse) and outcome.failed:
@@ -288,24 +290,19 @@
         order: HopOrder,
         remaining_ms: int,
     ) -> Outcome:
-        """Makes a call to the server, and notices if the server ends under it.
+        """Makes a call to the server, and counts it as unanswered meanwhile.
 
         :raises TransportError: if the server did not answer
         """
         watch = self._crash_watch
         sent = watch.record_sent(order.request)
+        outcome: Outcome | None = None
         try:
             outcome = await self._exchange(req, serving, order, remaining_ms)
-        except asyncio.CancelledError:
-            watch.record_given_up(sent)
-            raise
-        except TransportError as exc:
-            watch.record_given_up(sent)
-            if exc.sent:
-                await watch.check(serving)
-            raise
-        ran = isinstance(outcome, ServerResponse)
-        watch.record_answered(sent, ran=ran)
+        finally:
+            if outcome is None:
+                watch.record_given_up(sent)
+        watch.record_answered(sent, ran=isinstance(outcome, ServerResponse))
         return outcome
 
     def _request(self, call: Call, metadata: BackendMetadata) -> Request:
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -183,6 +183,31 @@
         assert len(requests.take_all()) == MAX_GIVEN_UP
 
 
+class TestSilentEnd:
+    """A server that falls silent, and is replaced under another name."""
+
+    async def suspects(self, *, leaves: bool) -> int:
+        mesh = HostMesh(1, born_ms=0)
+        mesh.servers[0].hangs = True
+        call = asyncio.ensure_future(mesh.call(0))
+        await asyncio.sleep(0.05)
+        if leaves:
+            mesh.nodes[0].monitor.record_departure(
+                mesh.nodes[0].name, asyncio.get_running_loop().time()
+            )
+        mesh.start_server(0, 'i-new')
+        mesh.nodes[0].beat(1, 0)
+        count = len(mesh.nodes[0].crash_reports.ledger)
+        await call
+        return count
+
+    def test_what_it_ran_is_suspect(self):
+        assert play(self.suspects(leaves=False)) == 1
+
+    def test_a_server_that_had_said_that_it_leaves_was_not_crashed(self):
+        assert play(self.suspects(leaves=True)) == 0
+
+
 class TestFullServer:
     """A full server resets or refuses connections, and runs on."""
 
