Digest requests in one step, and the crash ledger only after a change

The digests' contents are the same to within their separators, which no part of a request's head can contain.

--- a/papayalock/core/crashes.py
+++ b/papayalock/core/crashes.py
@@ -49,11 +49,11 @@
 
     :param key: secret of the mesh; '' for none
     """
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES, key=key)
-    for part in (method, host.lower(), target, b'%d' % len(body)):
-        digest.update(b'%d:%s' % (len(part), part))
-    digest.update(body[:MAX_DIGESTED_BYTES])
-    return digest.hexdigest()
+    # None of the parts contains a line break.
+    head = b'\n'.join((method, host.lower(), target, b'%d' % len(body), b''))
+    return hashlib.blake2b(
+        head + body[:MAX_DIGESTED_BYTES], digest_size=DIGEST_BYTES, key=key
+    ).hexdigest()
 
 
 class Evidence:
@@ -111,11 +111,12 @@
 class CrashLedger:
     """What one node knows of the requests under which servers ended."""
 
-    __slots__ = ('_evidence',)
+    __slots__ = ('_digest', '_evidence')
 
     def __init__(self) -> None:
         """Starts without evidence."""
         self._evidence: dict[str, Evidence] = {}
+        self._digest = ''  # '' after a change
 
     def __len__(self) -> int:
         """Returns the number of requests that there is evidence on."""
@@ -178,7 +179,10 @@
         :returns: whether there was something to clear
         """
         evidence = self._evidence.get(request)
-        return evidence is not None and evidence.refute()
+        if evidence is None or not evidence.refute():
+            return False
+        self._digest = ''
+        return True
 
     def report(self, request: str, now: float) -> CrashReport | None:
         """Returns what is known of a request, for other nodes."""
@@ -214,6 +218,11 @@
 
     def digest(self) -> str:
         """Returns a digest that is equal at nodes with equal evidence."""
+        if not self._digest:
+            self._digest = self._compute_digest()
+        return self._digest
+
+    def _compute_digest(self) -> str:
         state = hashlib.blake2b(digest_size=DIGEST_BYTES)
         for request in sorted(self._evidence):
             ends = self._evidence[request].ends
@@ -233,9 +242,11 @@
         ]
         for request in expired:
             self._evidence.pop(request)
+            self._digest = ''
 
     def _add(self, request: str, ends: Iterable[ServerEnd], at: float) -> bool:
         evidence = self._evidence.setdefault(request, Evidence())
+        self._digest = ''
         changes = [evidence.add(end, at) for end in ends]
         if len(self._evidence) > MAX_REQUESTS:
             self._drop_weakest()
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -133,6 +133,15 @@
         ]
         assert all(one == standings[0] for one in standings)
 
+    def test_nodes_with_the_same_evidence_have_the_same_digest(self):
+        one, other = convicted(), CrashLedger()
+        digests = {one.digest(), other.digest()}
+        self.tell(other, one, 1)
+        assert other.digest() == one.digest()
+        other.refute('bad')
+        digests |= {one.digest(), other.digest()}
+        assert len(digests) == 3
+
     def test_a_report_does_not_undo_a_clearance(self):
         ledger = CrashLedger()
         ledger.record_end('a@1', ['x'], 0)
