End the soak's links quietly while they connect

It now ends as a connection that is forwarded does. test_the_end_of_a_run_during_a_connect_leaves_no_traceback failed before.

--- a/bench/link.py
+++ b/bench/link.py
@@ -48,7 +48,7 @@
             target_reader, target_writer = await asyncio.open_connection(
                 host, int(port)
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
         pair = {writer, target_writer}
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -1,9 +1,11 @@
 """The draws of faults in the soak, and the violation that each check finds."""
 
+import asyncio
 import hashlib
 
 import pytest
 
+from bench.link import Link
 from bench.soak import checks, startchecks
 from bench.soak.__main__ import kept_seeds
 from bench.soak.callers import DEADLINES_MS, MS_PER_S
@@ -593,3 +595,27 @@
         assert list(
             startchecks.check_harmless_requests_are_not_quarantined(history)
         )
+
+
+class TestLink:
+    def test_the_end_of_a_run_during_a_connect_leaves_no_traceback(
+        self, monkeypatch
+    ):
+        class Writer:
+            class transport:
+                abort = staticmethod(lambda: None)
+
+        async def never_connects(*_):
+            await asyncio.sleep(float('inf'))
+
+        async def play():
+            accepting = asyncio.ensure_future(
+                Link('127.0.0.1:1').accept(None, Writer())
+            )
+            await asyncio.sleep(0)
+            accepting.cancel()
+            await asyncio.wait({accepting})
+            return accepting.cancelled()
+
+        monkeypatch.setattr(asyncio, 'open_connection', never_connects)
+        assert not asyncio.run(play())
