Use the field's terms for requests that crash servers

Verdict, conviction, blame and refutation were pictures of our own; quarantine, status, cleared and charged say what happens. One is_quarantined in place of three comparisons. Behaviour is the same.

--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -11,7 +11,7 @@
 import math
 from dataclasses import dataclass
 
-from papayalock.core.crashes import Standing
+from papayalock.core.crashes import CrashStatus
 from papayalock.core.gate import AdmissionResult, Queued, Shed, Started
 from papayalock.core.ratelimit import RateLimit
 from papayalock.core.shutdowntimes import ShutdownTimes
@@ -47,7 +47,7 @@
     returning: bool = False  # whether its caller was refused before
     may_wait: bool = True  # whether it may queue
     request: str = ''  # digest of its content
-    standing: Standing = Standing.CLEAR  # what is known against the request
+    crash_status: CrashStatus = CrashStatus.CLEAR  # of the request
     started: float = 0.0
     sequence: int = 0  # order of arrival
     served: bool = False  # whether the server answered without an error
@@ -64,7 +64,9 @@
         returning=order.returning,
         may_wait=order.may_wait,
         request=order.request,
-        standing=Standing(min(order.standing, Standing.CONVICTED)),
+        crash_status=CrashStatus(
+            min(order.crash_status, CrashStatus.QUARANTINED)
+        ),
     )
 
 
@@ -305,7 +307,7 @@
         isolated = [
             self._sort_key(queued, now)
             for queued in self._waiting
-            if queued.standing >= Standing.ISOLATED
+            if queued.crash_status >= CrashStatus.ISOLATED
         ]
         if not isolated:
             return []
@@ -342,11 +344,11 @@
         together, so that the end of the server tells which one it was. One
         under which servers have ended repeatedly runs beside no other request,
         as its end would break off all others; a first suspicion mostly falls
-        on innocent calls, and is not worth emptying the server.
+        on harmless calls, and is not worth emptying the server.
         """
         return any(
-            max(job.standing, other.standing) >= Standing.ISOLATED
-            or (job.standing and other.standing)
+            max(job.crash_status, other.crash_status) >= CrashStatus.ISOLATED
+            or (job.crash_status and other.crash_status)
             for other in self.running
             if other.request != job.request
         )
--- a/papayalock/core/crashes.py
+++ b/papayalock/core/crashes.py
@@ -1,15 +1,15 @@
-"""Requests under which backend servers ended, and the verdict on each.
+"""Requests under which backend servers ended, and their quarantine.
 
 A request may crash every server that runs it, and callers send it again. When
 a server ends, each request that it ran is a suspect. Evidence is kept by the
 start of the server that ended, so nodes can merge what they know in any order
 and as often as they like.
 
-Servers may also end together for another reason, under innocent requests. So
-only an end that comes when a request is suspected already, and no other
-suspect runs there, convicts it; and an answer of a server clears it.
+Servers may also end together for another reason, under harmless requests. So
+a request is quarantined only if a server ends under it while it is a suspect
+already, and the only one there. An answer of a server clears it.
 
-The load that it answers: one such request among many innocent ones, sent again
+The load that it answers: one such request among many harmless ones, sent again
 several times a second at any node.
 """
 
@@ -24,20 +24,20 @@
 FIRST_WEIGHT = 1  # of an end that makes its requests suspects
 CONFIRMING_WEIGHT = 2  # of an end under a request that was the only suspect
 ISOLATING_WEIGHT = 2
-VERDICT_S = 600.0  # from the last end on; a suspect again for as long after it
-SUSPICION_S = 120.0  # from the last end on, without a verdict
+QUARANTINE_S = 600.0  # from the last end on; then a suspect for as long again
+SUSPICION_S = 120.0  # from the last end on, of a request not quarantined
 MAX_REQUESTS = 256
 MAX_ENDS = 8  # per request
 MS_PER_S = 1000
 
 
-class Standing(IntEnum):
+class CrashStatus(IntEnum):
     """What is known against a request."""
 
     CLEAR = 0
     SUSPECT = 1  # runs beside no other suspect
     ISOLATED = 2  # runs alone
-    CONVICTED = 3  # does not run
+    QUARANTINED = 3  # does not run
 
 
 def request_digest(
@@ -68,20 +68,20 @@
 
     @property
     def weight(self) -> int:
-        """The weight of the ends that no later success has refuted."""
-        return sum(end.weight for end in self.ends.values() if not end.refuted)
+        """The weight of the ends that no later success has cleared."""
+        return sum(end.weight for end in self.ends.values() if not end.cleared)
 
     @property
     def confirmed(self) -> bool:
         """Whether a server ended under the request as the only suspect."""
         return any(
-            end.weight == CONFIRMING_WEIGHT and not end.refuted
+            end.weight == CONFIRMING_WEIGHT and not end.cleared
             for end in self.ends.values()
         )
 
     def lifetime_s(self) -> float:
         """Returns the seconds from the last end on in which it counts."""
-        return 2 * VERDICT_S if self.confirmed else SUSPICION_S
+        return 2 * QUARANTINE_S if self.confirmed else SUSPICION_S
 
     def add(self, end: ServerEnd, at: float) -> bool:
         """Merges one end; returns whether anything changed."""
@@ -95,16 +95,16 @@
         merged = ServerEnd(
             start=end.start,
             weight=max(known.weight, end.weight),
-            refuted=known.refuted or end.refuted,
+            cleared=known.cleared or end.cleared,
         )
         self.ends[end.start] = merged
         return merged != known
 
-    def refute(self) -> bool:
-        """Marks all known ends as refuted; returns whether one was not."""
+    def clear(self) -> bool:
+        """Marks all known ends as cleared; returns whether one was not."""
         changed = self.weight > 0
         for end in self.ends.values():
-            end.refuted = True
+            end.cleared = True
         return changed
 
 
@@ -122,64 +122,64 @@
         """Returns the number of requests that there is evidence on."""
         return len(self._evidence)
 
-    def standing(self, request: str, now: float) -> Standing:
-        """Returns the standing of a request.
+    def status(self, request: str, now: float) -> CrashStatus:
+        """Returns the status of a request.
 
         :param request: its digest
         """
         evidence = self._evidence.get(request)
         if evidence is None:
-            return Standing.CLEAR
+            return CrashStatus.CLEAR
         weight = evidence.weight
         age = now - evidence.last_end_at
         if not weight or age >= evidence.lifetime_s():
-            return Standing.CLEAR
-        if evidence.confirmed and age < VERDICT_S:
-            return Standing.CONVICTED
+            return CrashStatus.CLEAR
+        if evidence.confirmed and age < QUARANTINE_S:
+            return CrashStatus.QUARANTINED
         isolated = weight >= ISOLATING_WEIGHT
-        return Standing.ISOLATED if isolated else Standing.SUSPECT
+        return CrashStatus.ISOLATED if isolated else CrashStatus.SUSPECT
 
-    def verdict_left_s(self, request: str, now: float) -> float:
-        """Returns the seconds until the verdict on a request ends."""
+    def quarantine_left_s(self, request: str, now: float) -> float:
+        """Returns the seconds until the quarantine on a request ends."""
         evidence = self._evidence.get(request)
         if evidence is None:
             return 0.0
-        return max(0.0, evidence.last_end_at + VERDICT_S - now)
+        return max(0.0, evidence.last_end_at + QUARANTINE_S - now)
 
-    def count(self, standing: Standing, now: float) -> int:
-        """Returns the number of requests with a standing."""
+    def count(self, status: CrashStatus, now: float) -> int:
+        """Returns the number of requests with a status."""
         return sum(
-            self.standing(request, now) is standing
-            for request in self._evidence
+            self.status(request, now) is status for request in self._evidence
         )
 
     def record_end(
         self, start: str, requests: Collection[str], now: float
     ) -> list[str]:
-        """Records that a server ended, and returns the requests to blame.
+        """Records that a server ended; returns the requests that it counts against.
 
-        An end is blamed on the suspects that ran there, if there were any.
+        An end counts against the suspects that ran there, if there were any,
+        otherwise against all requests.
 
         :param start: identifies the start of the server that ended
         :param requests: digests of the requests that it ran
         """
         suspects = [
-            request for request in requests if self.standing(request, now)
+            request for request in requests if self.status(request, now)
         ]
-        blamed = suspects or list(requests)
+        suspected = suspects or list(requests)
         weight = CONFIRMING_WEIGHT if len(suspects) == 1 else FIRST_WEIGHT
-        for request in blamed:
+        for request in suspected:
             end = ServerEnd(start=start, weight=weight)
             self._add(request, [end], now)
-        return blamed
+        return suspected
 
-    def refute(self, request: str) -> bool:
+    def clear(self, request: str) -> bool:
         """Clears a request, since a server has answered it or by order.
 
         :returns: whether there was something to clear
         """
         evidence = self._evidence.get(request)
-        if evidence is None or not evidence.refute():
+        if evidence is None or not evidence.clear():
             return False
         self._digest = ''
         return True
@@ -229,7 +229,7 @@
             state.update(request.encode())
             for start in sorted(ends):
                 end = ends[start]
-                text = f'{start} {end.weight} {end.refuted};'
+                text = f'{start} {end.weight} {end.cleared};'
                 state.update(text.encode())
         return state.hexdigest()
 
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -315,10 +315,10 @@
             max_length=64,
         ),
     ] = ''
-    standing: Annotated[
+    crash_status: Annotated[
         int,
         Meta(
-            description='What the calling node knows against the request; see core.crashes.Standing.',
+            description='What the calling node knows against the request; see core.crashes.CrashStatus.',
             ge=0,
         ),
     ] = 0
@@ -340,7 +340,7 @@
             le=2,
         ),
     ]
-    refuted: Annotated[
+    cleared: Annotated[
         bool,
         Meta(
             description='Whether a server has answered the request since then, or an operator has cleared it.'
--- a/papayalock/node/crashadmin.py
+++ b/papayalock/node/crashadmin.py
@@ -19,7 +19,7 @@
     """One request under which servers ended, as a node knows it."""
 
     request: str
-    standing: str
+    status: str
     report: CrashReport
 
 
@@ -59,7 +59,7 @@
         return [
             CrashView(
                 report.request,
-                self._reports.standing(report.request).name.lower(),
+                self._reports.status(report.request).name.lower(),
                 report,
             )
             for report in reports
--- a/papayalock/node/crashreports.py
+++ b/papayalock/node/crashreports.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from papayalock.core.crashes import CrashLedger, Standing
+from papayalock.core.crashes import CrashLedger, CrashStatus
 from papayalock.core.serverstarts import ServerStart
 from papayalock.httpclient import Headers
 from papayalock.messages import CrashReport
@@ -37,25 +37,29 @@
         self.on_evidence: list[Listener] = []
         self._clock = clock
 
-    def standing(self, request: str) -> Standing:
-        """Returns the standing of a request.
+    def status(self, request: str) -> CrashStatus:
+        """Returns the status of a request.
 
         :param request: its digest
         """
-        return self.ledger.standing(request, self._clock.monotonic())
+        return self.ledger.status(request, self._clock.monotonic())
+
+    def is_quarantined(self, request: str) -> bool:
+        """Returns whether a request must not run."""
+        return self.status(request) is CrashStatus.QUARANTINED
 
     def counts(self) -> dict[str, int]:
         """Returns the numbers of suspects and quarantined requests."""
         now = self._clock.monotonic()
-        isolated = self.ledger.count(Standing.ISOLATED, now)
+        isolated = self.ledger.count(CrashStatus.ISOLATED, now)
         return {
-            'suspects': self.ledger.count(Standing.SUSPECT, now) + isolated,
-            'quarantined': self.ledger.count(Standing.CONVICTED, now),
+            'suspects': self.ledger.count(CrashStatus.SUSPECT, now) + isolated,
+            'quarantined': self.ledger.count(CrashStatus.QUARANTINED, now),
         }
 
     def refusal(self, request: str) -> NoResponse:
-        """Returns the outcome of a convicted request, which is not run."""
-        left_s = self.ledger.verdict_left_s(request, self._clock.monotonic())
+        """Returns the outcome of a quarantined request, which is not run."""
+        left_s = self.ledger.quarantine_left_s(request, self._clock.monotonic())
         return NoResponse(
             Code.QUARANTINED,
             f'backend servers ended under request {request}',
@@ -64,7 +68,7 @@
 
     def record_end(self, start: ServerStart, requests: list[str]) -> None:
         """Records that the local server ended while it ran some requests."""
-        blamed = self.ledger.record_end(
+        suspected = self.ledger.record_end(
             f'{start.server}@{start.born_ms}',
             requests,
             self._clock.monotonic(),
@@ -74,21 +78,21 @@
             extra={
                 'server': start.server,
                 'requests': len(requests),
-                'suspects': blamed[:MAX_LOGGED_REQUESTS],
+                'suspects': suspected[:MAX_LOGGED_REQUESTS],
             },
         )
-        self._notify(blamed)
+        self._notify(suspected)
 
     def record_answer(self, request: str) -> None:
         """Clears a request that a server has run and answered."""
-        self.ledger.refute(request)
+        self.ledger.clear(request)
 
     def lift(self, request: str) -> bool:
         """Clears a request by order of an operator.
 
         :returns: whether there was something to clear
         """
-        lifted = self.ledger.refute(request)
+        lifted = self.ledger.clear(request)
         if lifted:
             log.warning('quarantine lifted', extra={'request': request})
             self._notify([request])
@@ -117,8 +121,7 @@
 
     def _notify(self, requests: list[str]) -> None:
         for request in requests:
-            standing = self.standing(request)
-            if standing is Standing.CONVICTED:
+            if self.is_quarantined(request):
                 log.warning('request quarantined', extra={'request': request})
         for notify in self.on_evidence:
             notify(requests)
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from papayalock.core.admission import Job, ServerGate, job_from_order
-from papayalock.core.crashes import Standing
 from papayalock.core.heartbeats import BackendMonitor
 from papayalock.core.serverstarts import ServerStart, start_of
 from papayalock.core.shutdowntimes import RETRY_AFTER_MS
@@ -194,8 +193,8 @@
         if isinstance(serving, NoResponse):
             return serving
         job = job_from_order(order, now)
-        job.standing = max(
-            job.standing, self._crash_reports.standing(order.request)
+        job.crash_status = max(
+            job.crash_status, self._crash_reports.status(order.request)
         )
         if self._gate.shutdown_times.refuses_hop(job.deadline_at, now):
             return NoResponse(Code.DRAINING, 'the node stops', RETRY_AFTER_MS)
@@ -241,7 +240,7 @@
         self, order: HopOrder, now: float
     ) -> Announcement | NoResponse:
         """Returns the local server, or why the order cannot run on it."""
-        if self._crash_reports.standing(order.request) is Standing.CONVICTED:
+        if self._crash_reports.is_quarantined(order.request):
             return self._crash_reports.refusal(order.request)
         serving = self._monitor.serving(now)
         if serving is None:
--- a/papayalock/node/tryrunner.py
+++ b/papayalock/node/tryrunner.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from papayalock.core.crashes import Standing
 from papayalock.core.directory import KnownServer
 from papayalock.core.placement import Placement
 from papayalock.core.servernotices import NOTHING
@@ -88,7 +87,7 @@
             ``silence_ms``; the try continues
         :param may_wait: whether the call may join a queue at the server
         """
-        if self._crash_reports.standing(routed.request) is Standing.CONVICTED:
+        if self._crash_reports.is_quarantined(routed.request):
             return self._crash_reports.refusal(routed.request)
         server = record.server
         self._placement.call_started(server)
@@ -156,7 +155,7 @@
             returning=routed.returning,
             may_wait=may_wait,
             request=routed.request,
-            standing=self._crash_reports.standing(routed.request),
+            crash_status=self._crash_reports.status(routed.request),
         )
 
     async def _forward(
--- a/papayalock/ui/crashes.py
+++ b/papayalock/ui/crashes.py
@@ -44,6 +44,6 @@
 
 def _view_line(view: dict[str, Any]) -> str:
     report = view['report']
-    ended = [end['start'] for end in report['ends'] if not end.get('refuted')]
+    ended = [end['start'] for end in report['ends'] if not end.get('cleared')]
     age_s = report['age_ms'] // MS_PER_S
-    return ' '.join((view['request'], view['standing'], f'{age_s}s', *ended))
+    return ' '.join((view['request'], view['status'], f'{age_s}s', *ended))
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -1,4 +1,4 @@
-"""Requests that crash each server that runs them, and the innocent beside."""
+"""Requests that crash each server that runs them, and the harmless beside."""
 
 import asyncio
 import contextlib
@@ -12,9 +12,9 @@
 from papayalock.core.crashes import (
     MAX_REQUESTS,
     SUSPICION_S,
-    VERDICT_S,
+    QUARANTINE_S,
     CrashLedger,
-    Standing,
+    CrashStatus,
     request_digest,
 )
 from papayalock.core.gate import Queued, Shed, Started
@@ -31,77 +31,77 @@
 from test.test_dispatch import Writer
 from test.wires import FakeClock
 
-WINDOW_S = 3.0  # in which every node has to learn of a verdict
+WINDOW_S = 3.0  # in which every node has to learn of a quarantine
 MAX_LATER_SENDS = 3
 DOWN_S = 3.0
 DEADLY_PER_S = 5
 
 
-def convicted(request: str = 'bad') -> CrashLedger:
+def quarantined(request: str = 'bad') -> CrashLedger:
     ledger = CrashLedger()
     ledger.record_end('a@1', [request, 'x', 'y'], 0)
     ledger.record_end('b@1', [request, 'z'], 1)
     return ledger
 
 
-class TestVerdict:
-    def test_one_end_convicts_no_request(self):
+class TestQuarantine:
+    def test_one_end_quarantines_no_request(self):
         ledger = CrashLedger()
         ledger.record_end('a@1', ['bad'], 0)
-        assert ledger.standing('bad', 0) is Standing.SUSPECT
+        assert ledger.status('bad', 0) is CrashStatus.SUSPECT
 
-    def test_an_end_under_the_only_suspect_convicts_it(self):
-        ledger = convicted()
-        assert ledger.standing('bad', 1) is Standing.CONVICTED
+    def test_an_end_under_the_only_suspect_quarantines_it(self):
+        ledger = quarantined()
+        assert ledger.status('bad', 1) is CrashStatus.QUARANTINED
 
-    def test_a_suspect_that_ran_there_is_blamed_and_no_other_request(self):
-        ledger = convicted()
-        assert ledger.standing('z', 1) is Standing.CLEAR
+    def test_a_suspect_that_ran_there_is_charged_and_no_other_request(self):
+        ledger = quarantined()
+        assert ledger.status('z', 1) is CrashStatus.CLEAR
 
-    def test_ends_at_the_same_time_convict_no_request(self):
+    def test_ends_at_the_same_time_quarantine_no_request(self):
         """A popular request ran on all servers when these lost power."""
         nodes = [CrashLedger() for _ in range(3)]
         for number, node in enumerate(nodes):
             node.record_end(f's{number}@1', ['popular'], 0)
             nodes[0].merge(node.newest_reports(9, 0), 0)
-        assert nodes[0].standing('popular', 0) is Standing.ISOLATED
+        assert nodes[0].status('popular', 0) is CrashStatus.ISOLATED
 
     def test_the_same_end_counts_once(self):
         ledger = CrashLedger()
         for now in range(5):
             ledger.record_end('a@1', ['x', 'y'], now)
-        assert ledger.standing('x', 5) is Standing.SUSPECT
+        assert ledger.status('x', 5) is CrashStatus.SUSPECT
 
     def test_an_answer_clears_a_request(self):
         ledger = CrashLedger()
         ledger.record_end('a@1', ['x'], 0)
-        assert ledger.refute('x')
-        assert not ledger.refute('x')
-        assert ledger.standing('x', 0) is Standing.CLEAR
+        assert ledger.clear('x')
+        assert not ledger.clear('x')
+        assert ledger.status('x', 0) is CrashStatus.CLEAR
 
     def test_a_verdict_ends_and_leaves_a_suspect(self):
-        ledger = convicted()
-        assert ledger.verdict_left_s('bad', 1) == VERDICT_S
-        assert ledger.standing('bad', 2 + VERDICT_S) is Standing.ISOLATED
-        assert ledger.standing('bad', 2 + 2 * VERDICT_S) is Standing.CLEAR
+        ledger = quarantined()
+        assert ledger.quarantine_left_s('bad', 1) == QUARANTINE_S
+        assert ledger.status('bad', 2 + QUARANTINE_S) is CrashStatus.ISOLATED
+        assert ledger.status('bad', 2 + 2 * QUARANTINE_S) is CrashStatus.CLEAR
 
     def test_a_suspicion_without_a_verdict_ends_sooner(self):
         ledger = CrashLedger()
         ledger.record_end('a@1', ['x'], 0)
-        assert ledger.standing('x', SUSPICION_S) is Standing.CLEAR
+        assert ledger.status('x', SUSPICION_S) is CrashStatus.CLEAR
         ledger.drop_expired(SUSPICION_S)
         assert not len(ledger)
 
     def test_a_verdict_outlives_many_suspects(self):
-        ledger = convicted()
+        ledger = quarantined()
         for number in range(10 * MAX_REQUESTS):
             ledger.record_end(f'n{number}@1', [f'r{number}'], 2)
         assert len(ledger) == MAX_REQUESTS
-        assert ledger.standing('bad', 2) is Standing.CONVICTED
+        assert ledger.status('bad', 2) is CrashStatus.QUARANTINED
 
     def test_expired_requests_are_forgotten(self):
-        ledger = convicted()
-        ledger.drop_expired(2 + 2 * VERDICT_S)
+        ledger = quarantined()
+        ledger.drop_expired(2 + 2 * QUARANTINE_S)
         assert not len(ledger)
 
 
@@ -118,7 +118,7 @@
             node = rng.choice(nodes)
             request = f'r{rng.randrange(5)}'
             if rng.random() < 0.2:
-                node.refute(request)
+                node.clear(request)
             elif rng.random() < 0.3:
                 node.record_end(f's{step}@1', [request, 'other'], step)
             else:
@@ -127,18 +127,18 @@
             for node in nodes:
                 for other in nodes:
                     self.tell(node, other, 60)
-        standings = [
-            [node.standing(f'r{number}', 60) for number in range(5)]
+        statuses = [
+            [node.status(f'r{number}', 60) for number in range(5)]
             for node in nodes
         ]
-        assert all(one == standings[0] for one in standings)
+        assert all(one == statuses[0] for one in statuses)
 
     def test_nodes_with_the_same_evidence_have_the_same_digest(self):
-        one, other = convicted(), CrashLedger()
+        one, other = quarantined(), CrashLedger()
         digests = {one.digest(), other.digest()}
         self.tell(other, one, 1)
         assert other.digest() == one.digest()
-        other.refute('bad')
+        other.clear('bad')
         digests |= {one.digest(), other.digest()}
         assert len(digests) == 3
 
@@ -147,9 +147,9 @@
         ledger.record_end('a@1', ['x'], 0)
         late = CrashLedger()
         self.tell(late, ledger, 0)
-        ledger.refute('x')
+        ledger.clear('x')
         self.tell(ledger, late, 1)
-        assert ledger.standing('x', 1) is Standing.CLEAR
+        assert ledger.status('x', 1) is CrashStatus.CLEAR
 
 
 class TestDigest:
@@ -242,35 +242,42 @@
 
 
 class TestGate:
-    def job(self, request: str, standing: Standing) -> Job:
+    def job(self, request: str, status: CrashStatus) -> Job:
         candidate = job(0)
         candidate.request = request
-        candidate.standing = standing
+        candidate.crash_status = status
         return candidate
 
-    def started(self, server_gate: ServerGate, *standings: Standing):
-        """Returns what becomes of different requests with some standings."""
+    def started(self, server_gate: ServerGate, *statuses: CrashStatus):
+        """Returns what becomes of different requests with some statuses."""
         return [
-            type(server_gate.submit(self.job(f'r{number}', standing), 0))
-            for number, standing in enumerate(standings)
+            type(server_gate.submit(self.job(f'r{number}', status), 0))
+            for number, status in enumerate(statuses)
         ]
 
     def test_two_suspects_do_not_run_beside_each_other(self):
         results = self.started(
-            gate(slots=4), Standing.SUSPECT, Standing.SUSPECT, Standing.CLEAR
+            gate(slots=4),
+            CrashStatus.SUSPECT,
+            CrashStatus.SUSPECT,
+            CrashStatus.CLEAR,
         )
         assert results == [Started, Queued, Started]
 
     def test_copies_of_one_suspect_run_beside_each_other(self):
         server_gate = gate(slots=4)
         for _ in range(2):
-            copy = self.job('r', Standing.SUSPECT)
+            copy = self.job('r', CrashStatus.SUSPECT)
             assert isinstance(server_gate.submit(copy, 0), Started)
 
     def test_an_isolated_request_runs_alone(self):
-        first = self.started(gate(slots=4), Standing.CLEAR, Standing.ISOLATED)
+        first = self.started(
+            gate(slots=4), CrashStatus.CLEAR, CrashStatus.ISOLATED
+        )
         assert first == [Started, Queued]
-        alone = self.started(gate(slots=4), Standing.ISOLATED, Standing.CLEAR)
+        alone = self.started(
+            gate(slots=4), CrashStatus.ISOLATED, CrashStatus.CLEAR
+        )
         assert alone == [Started, Queued]
 
     def test_an_isolated_request_gets_its_turn_under_load(self):
@@ -278,7 +285,7 @@
         running = [job(0), job(0)]
         for one in running:
             server_gate.submit(one, 0)
-        isolated = self.job('bad', Standing.ISOLATED)
+        isolated = self.job('bad', CrashStatus.ISOLATED)
         server_gate.submit(isolated, 0)
         later = job(0)
         server_gate.submit(later, 0)
@@ -291,8 +298,8 @@
 
     def test_a_request_that_may_not_wait_is_refused_at_once(self):
         server_gate = gate(slots=4)
-        self.started(server_gate, Standing.SUSPECT)
-        candidate = self.job('other', Standing.SUSPECT)
+        self.started(server_gate, CrashStatus.SUSPECT)
+        candidate = self.job('other', CrashStatus.SUSPECT)
         candidate.may_wait = False
         assert isinstance(server_gate.submit(candidate, 0), Shed)
 
@@ -368,7 +375,7 @@
         assert sum(served) > 0.97 * len(served)
         assert (
             mesh.nodes[0].crash_reports.ledger.count(
-                Standing.CONVICTED, mesh.crashed_at[-1]
+                CrashStatus.QUARANTINED, mesh.crashed_at[-1]
             )
             == 1
         )
@@ -393,28 +400,30 @@
 
 
 class TestGossip:
-    async def told_after(self, seconds: float, *, cut: bool) -> list[Standing]:
-        """Returns what each node knows some time after a verdict at one."""
+    async def told_after(
+        self, seconds: float, *, cut: bool
+    ) -> list[CrashStatus]:
+        """Returns what each node knows some time after a quarantine at one."""
         mesh = HostMesh(12)
         gossip = asyncio.ensure_future(mesh.gossip())
         gates = dict(mesh.gates)
         if cut:
             mesh.gates.clear()
         reports = mesh.nodes[0].crash_reports
-        reports.merge(convicted().newest_reports(9, 0))
+        reports.merge(quarantined().newest_reports(9, 0))
         await asyncio.sleep(1)
         mesh.gates.update(gates)
         await asyncio.sleep(seconds)
         gossip.cancel()
-        return [node.crash_reports.standing('bad') for node in mesh.nodes]
+        return [node.crash_reports.status('bad') for node in mesh.nodes]
 
     def test_every_node_knows_a_verdict_at_once(self):
         known = play(self.told_after(0, cut=False))
-        assert set(known) == {Standing.CONVICTED}
+        assert set(known) == {CrashStatus.QUARANTINED}
 
     def test_nodes_that_were_cut_off_learn_of_it_within_the_window(self):
         known = play(self.told_after(WINDOW_S, cut=True))
-        assert set(known) == {Standing.CONVICTED}
+        assert set(known) == {CrashStatus.QUARANTINED}
 
 
 class TestAdmin:
@@ -429,12 +438,12 @@
 
     def test_an_operator_sees_and_lifts_a_quarantine(self):
         reports = CrashReports(FakeClock())
-        reports.merge(convicted().newest_reports(9, 1))
-        assert b'"standing":"convicted"' in self.handle(
+        reports.merge(quarantined().newest_reports(9, 1))
+        assert b'"status":"quarantined"' in self.handle(
             reports, b'GET', b'/crashes'
         )
         assert b'200' in self.handle(reports, b'DELETE', b'/crashes/bad')
-        assert reports.standing('bad') is Standing.CLEAR
+        assert reports.status('bad') is CrashStatus.CLEAR
         assert b'404' in self.handle(reports, b'DELETE', b'/crashes/none')
 
     def test_metrics_are_still_served(self):
@@ -443,10 +452,10 @@
 
     def test_the_command_lists_what_a_node_knows(self, monkeypatch, capsys):
         reports = CrashReports(FakeClock())
-        reports.merge(convicted().newest_reports(1, 1))
+        reports.merge(quarantined().newest_reports(1, 1))
         written = self.handle(reports, b'GET', b'/crashes')
         views = msgspec.json.decode(written.split(b'\r\n\r\n')[1])
         monkeypatch.setattr(crashes, 'send_request', lambda *_: views)
         args = build_parser().parse_args(['crashes', '10.0.0.1:1'])
         assert args.run(args) == Code.DONE
-        assert capsys.readouterr().out == 'bad convicted 0s a@1 b@1\n'
+        assert capsys.readouterr().out == 'bad quarantined 0s a@1 b@1\n'
