Count the end of one start of a server only once against a request

If a server that was taken for ended answered after all and then ended, the same start was recorded twice, and a request that ran alone both times was quarantined by one server.

--- a/papayalock/core/crashes.py
+++ b/papayalock/core/crashes.py
@@ -163,16 +163,23 @@
         :param start: identifies the start of the server that ended
         :param requests: digests of the requests that it ran
         """
+        uncounted = [
+            request for request in requests if not self._knows(request, start)
+        ]
         suspects = [
-            request for request in requests if self.status(request, now)
+            request for request in uncounted if self.status(request, now)
         ]
-        suspected = suspects or list(requests)
+        suspected = suspects or uncounted
         weight = CONFIRMING_WEIGHT if len(suspects) == 1 else FIRST_WEIGHT
         for request in suspected:
             end = ServerEnd(start=start, weight=weight)
             self._add(request, [end], now)
         return suspected
 
+    def _knows(self, request: str, start: str) -> bool:
+        evidence = self._evidence.get(request)
+        return evidence is not None and start in evidence.ends
+
     def clear(self, request: str) -> bool:
         """Clears a request, since a server has answered it or by order.
 
--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -70,7 +70,9 @@
         ledger = CrashLedger()
         for now in range(5):
             ledger.record_end('a@1', ['x', 'y'], now)
+            ledger.record_end('b@1', ['alone'], now)
         assert ledger.status('x', 5) is CrashStatus.SUSPECT
+        assert ledger.status('alone', 5) is CrashStatus.SUSPECT
 
     def test_an_answer_clears_a_request(self):
         ledger = CrashLedger()
