Read the new configurations whole, and identify customers by API key

Callers of a deployment whose configuration names customers, or routes with large responses, were not served at all: every such configuration was answered 400, since an unknown route type made all of it invalid, and customers were dropped without a line.

Cause: the adapter accepted two route types only, and the product knew no customer, no public route and no software version of a server.

Servers' versions are kept in announcements and endpoints. A key that two customers share makes a set invalid; the error names the entries, never a key. A type of route that the adapter does not know is served as not idempotent, with a log line. Nodes hold keyed digests only; the node that takes a call in answers 401 for an unknown key, drops the key, and passes the customer on in the order of the hop, which no caller can set. The messages of roll-outs come with the schema; nothing uses them yet.

Where no customer is configured, calls take the path as before.

Not done here: quotas, revocation while calls queue, fair shares.

--- a/papayalock/control/anyzone.py
+++ b/papayalock/control/anyzone.py
@@ -47,7 +47,7 @@
     def _serves_zone(self, zone: str) -> bool:
         return True
 
-    def _target_version(self, req: SyncReq) -> VersionInfo | None:
+    def _version_to_offer(self, req: SyncReq) -> VersionInfo | None:
         return (
             self._notified_version
             if req.version
--- a/papayalock/control/distributor.py
+++ b/papayalock/control/distributor.py
@@ -275,7 +275,7 @@
         return await self._poll(req)
 
     def _build_reply(self, req: SyncReq) -> SyncReply:
-        info = self._target_version(req)
+        info = self._version_to_offer(req)
         if info is None:
             return SyncReply(Code.DONE)
         held = held_config(req)
@@ -290,7 +290,7 @@
         delta = self._source.encoded_delta(held, info)
         return SyncReply(Code.DONE, delta=delta, endpoints=endpoints)
 
-    def _target_version(self, req: SyncReq) -> VersionInfo | None:
+    def _version_to_offer(self, req: SyncReq) -> VersionInfo | None:
         """Returns the version that a node should apply.
 
         A running node gets the version of the last coalesced notification, so
--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import random
 import secrets
@@ -31,6 +32,7 @@
 from papayalock.control.versionjournal import VersionJournal
 from papayalock.control.zonereports import ZoneReportClient
 from papayalock.core.claims import Claims
+from papayalock.core.customers import key_digest
 from papayalock.core.distribute import SnapshotLimiter
 from papayalock.core.endpoints import EndpointTable, ExistenceTracker
 from papayalock.core.ledger import Ledger
@@ -134,6 +136,9 @@
             Registry(),
             operator,
             self.member_manager,
+            functools.partial(
+                key_digest, secret=settings.hosts.digest_key.encode()
+            ),
         )
 
     async def run(self) -> None:
--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -16,7 +16,7 @@
 from papayalock.control.membermanager import MemberManager
 from papayalock.control.status import StatusReader
 from papayalock.core.routesets import validate_route_set
-from papayalock.dialect import OperatorDialect
+from papayalock.dialect import KeyDigest, OperatorDialect
 from papayalock.messages import (
     Claim,
     ErrorBody,
@@ -107,12 +107,15 @@
         registry: Registry,
         operator: OperatorDialect,
         member_manager: MemberManager,
+        key_digest: KeyDigest,
     ) -> None:
         """Builds :attr:`app`, which the composition root serves.
 
         :param operator: translates route sets between the operator's format
             and the project's own
+        :param key_digest: returns the digest of an API key
         """
+        self._key_digest = key_digest
         self._coordinator = coordinator
         self._status = status
         self._registry = registry
@@ -270,7 +273,7 @@
         return json_response(res, self._operator.publish_status(res))
 
     async def _publish_routes(self, body: bytes) -> PublishRes:
-        routes = validate_route_set(self._operator.read(body))
+        routes = validate_route_set(self._operator.read(body, self._key_digest))
         route_sets = self._coordinator.ledger.route_sets
         result = route_sets.result_without_log(routes)
         if result is not None:
--- a/papayalock/core/heartbeats.py
+++ b/papayalock/core/heartbeats.py
@@ -244,6 +244,6 @@
         announcement.server,
         announcement.service,
         announcement.address,
-        announcement.slots,
+        (announcement.slots, announcement.version),
         announcement.born_ms,
     )
--- a/papayalock/core/hostroutes.py
+++ b/papayalock/core/hostroutes.py
@@ -3,7 +3,13 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 
-from papayalock.core.partnames import LIMITS_PART, policy_of, route_of
+from papayalock.core.customers import CustomerTable
+from papayalock.core.partnames import (
+    LIMITS_PART,
+    customer_of,
+    policy_of,
+    route_of,
+)
 from papayalock.messages import CallerLimits, HostRoute, Part, ServicePolicy
 from papayalock.ports import Random
 
@@ -63,13 +69,14 @@
     match on how many lengths the prefixes of the host have.
     """
 
-    __slots__ = ('_by_host', 'limits', 'policies', 'routes')
+    __slots__ = ('_by_host', 'customers', 'limits', 'policies', 'routes')
 
     def __init__(self, parts: Iterable[Part]) -> None:
         """Indexes the shared parts of a configuration."""
         self.routes: dict[str, HostRoute] = {}
         self.policies: dict[str, ServicePolicy] = {}
         self.limits: CallerLimits | None = None
+        self.customers = CustomerTable()
         self._by_host: defaultdict[str, HostIndex] = defaultdict(HostIndex)
         self.update(parts, ())
 
@@ -99,11 +106,14 @@
             self.policies[part.policy.service] = part.policy
         if part.limits is not None:
             self.limits = part.limits
+        if part.customer is not None:
+            self.customers.add(part.customer)
 
     def _remove(self, name: str) -> None:
         if name == LIMITS_PART:
             self.limits = None
         self.policies.pop(policy_of(name), None)
+        self.customers.remove(customer_of(name))
         route = self.routes.pop(route_of(name), None)
         if route is None:
             return
--- a/papayalock/core/partnames.py
+++ b/papayalock/core/partnames.py
@@ -4,6 +4,7 @@
 a route set are shared by all nodes, and their names have a prefix.
 """
 
+CUSTOMER_PREFIX = 'customer/'
 POLICY_PREFIX = 'policy/'
 ROUTE_PREFIX = 'route/'
 LIMITS_PART = 'limits/callers'
@@ -15,6 +16,11 @@
     return f'{POLICY_PREFIX}{service}'
 
 
+def customer_part(customer: str) -> str:
+    """Returns the name of the part with a customer."""
+    return f'{CUSTOMER_PREFIX}{customer}'
+
+
 def route_part(route: str) -> str:
     """Returns the name of the part with a host route."""
     return f'{ROUTE_PREFIX}{route}'
@@ -30,6 +36,11 @@
     return _suffix(name, POLICY_PREFIX)
 
 
+def customer_of(name: str) -> str:
+    """Returns the customer that a part holds, or ''."""
+    return _suffix(name, CUSTOMER_PREFIX)
+
+
 def is_shared(name: str) -> bool:
     """Returns whether a part comes from a route set."""
     return SHARED_PART_MARK in name
--- a/papayalock/core/routesets.py
+++ b/papayalock/core/routesets.py
@@ -1,15 +1,22 @@
 """The host routes in force, and the validation of new route sets."""
 
 import hashlib
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
-from papayalock.core.partnames import LIMITS_PART, policy_part, route_part
+from papayalock.core.partnames import (
+    LIMITS_PART,
+    customer_part,
+    policy_part,
+    route_part,
+)
 from papayalock.core.problems import Problems
 from papayalock.core.revision import apply_revision, make_revision
 from papayalock.messages import (
+    Customer,
     HostRoute,
     Part,
     Problem,
@@ -22,6 +29,7 @@
 
 DIGEST_BYTES = 16
 MAX_ACCEPTED = 20_000  # digests of accepted sets kept to recognize resends
+Named = TypeVar('Named', HostRoute, Customer)
 _ROUTE_SET = msgspec.json.Decoder(RouteSet)
 
 
@@ -178,18 +186,19 @@
         )
 
     def _changed_parts(self, previous: RouteSet | None) -> Iterator[Part]:
-        """Yields the parts of the set in force, without unchanged routes."""
+        """Yields the parts, without unchanged routes and customers."""
         current = self.state.current
         if current is None:
             return
         for policy in current.services:
-            yield _shared_part(policy_part(policy.service), policy=policy)
-        earlier = _routes_by_name(previous)
-        for route in current.routes:
-            if earlier.get(route.name) is not route:
-                yield _shared_part(route_part(route.name), host_route=route)
+            yield shared_part(policy_part(policy.service), policy=policy)
+        earlier = previous or RouteSet(0, 0, [], [])
+        for route in _replaced(earlier.routes, current.routes):
+            yield shared_part(route_part(route.name), host_route=route)
+        for customer in _replaced(earlier.customers, current.customers):
+            yield shared_part(customer_part(customer.name), customer=customer)
         if current.limits is not None:
-            yield _shared_part(LIMITS_PART, limits=current.limits)
+            yield shared_part(LIMITS_PART, limits=current.limits)
 
     def _removed_parts(self, previous: RouteSet | None) -> set[str]:
         """Returns the names of parts that only an earlier set has."""
@@ -199,19 +208,28 @@
         return _part_names(previous) - _part_names(current)
 
 
-def _routes_by_name(routes: RouteSet | None) -> dict[str, HostRoute]:
-    return {route.name: route for route in routes.routes} if routes else {}
+def _replaced(
+    earlier: Iterable[Named], current: Iterable[Named]
+) -> list[Named]:
+    """Returns the current items that are not also in an earlier list."""
+    by_name = {named.name: named for named in earlier}
+    return [named for named in current if by_name.get(named.name) is not named]
 
 
 def _part_names(routes: RouteSet) -> set[str]:
     names = {route_part(route.name) for route in routes.routes}
     names.update(policy_part(policy.service) for policy in routes.services)
+    names.update(customer_part(named.name) for named in routes.customers)
     if routes.limits is not None:
         names.add(LIMITS_PART)
     return names
 
 
-def _shared_part(name: str, **content: object) -> Part:
+def shared_part(name: str, **content: object) -> Part:
+    """Returns a part that all nodes hold.
+
+    :param content: the one field of the part that is set
+    """
     return Part(
         service=name,
         slots=1,
@@ -251,6 +269,7 @@
             problems.add(Code.DUPLICATE, where, 'name is used twice')
         names.add(route.name)
         _check_route(route, where, services, problems)
+    _check_customers(routes.customers, problems)
     return problems.items
 
 
@@ -270,3 +289,20 @@
             )
         if share.weight < 0:
             problems.add(Code.BAD_VALUE, where, 'weight is below 0')
+
+
+def _check_customers(customers: list[Customer], problems: Problems) -> None:
+    """Names the entries with an error, but never a key."""
+    names: set[str] = set()
+    holders: dict[str, str] = {}
+    for customer in customers:
+        where = f'customer[{customer.name}]'
+        if customer.name in names:
+            problems.add(Code.DUPLICATE, where, 'name is used twice')
+        names.add(customer.name)
+        for digest in customer.keys:
+            holder = holders.setdefault(digest, customer.name)
+            if holder != customer.name:
+                problems.add(
+                    Code.DUPLICATE, where, f'shares an API key with {holder}'
+                )
--- a/papayalock/dialect.py
+++ b/papayalock/dialect.py
@@ -6,7 +6,8 @@
 another platform's dialect is an adapter outside this package.
 """
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from papayalock.httpclient import Headers
@@ -19,6 +20,8 @@
 from papayalock.node.http import Call
 from papayalock.result import Code
 
+KeyDigest = Callable[[str], str]
+
 
 @dataclass(slots=True, frozen=True)
 class CallerMetadata:
@@ -26,6 +29,7 @@
 
     call: str  # call id; '' if the caller sent none
     deadline_ms: int  # time that the caller waits; 0 if it did not say
+    api_key: str = field(default='', repr=False)  # '' if the caller sent none
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,6 +40,7 @@
     server: str  # name of the backend server that is to run the call
     caller: str  # service that made the call
     remaining_ms: int  # time left until the caller's deadline
+    customer: str = ''  # customer that made the call; '' for none
 
 
 @dataclass(slots=True, frozen=True)
@@ -60,6 +65,10 @@
         """Returns the metadata that a caller sent with its call."""
         ...
 
+    def without_api_key(self, headers: Headers) -> Headers:
+        """Returns the headers of a call without its API key."""
+        ...
+
     def backend_headers(
         self, headers: Headers, metadata: BackendMetadata
     ) -> Headers:
@@ -131,9 +140,10 @@
 
     path: str  # URL path of the route set
 
-    def read(self, body: bytes) -> RouteSet:
+    def read(self, body: bytes, key_digest: KeyDigest) -> RouteSet:
         """Decodes a route set.
 
+        :param key_digest: returns the digest of an API key
         :raises PapayalockError: ``INVALID`` if it is malformed
         """
         ...
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -152,6 +152,156 @@
         ),
     ]
     shares: Annotated[list[Share], Meta(min_length=1)]
+    large: Annotated[bool, Meta(description='Whether responses are large.')] = False
+    public: Annotated[
+        bool,
+        Meta(
+            description='Whether callers need no API key even if there are customers.'
+        ),
+    ] = False
+
+
+class Rollout(Struct):
+    """
+    The newest roll-out of a service.
+    """
+
+    order: Annotated[
+        int, Meta(description='Log index of the order, which identifies the roll-out.')
+    ]
+    target: Annotated[
+        str,
+        Meta(
+            description='Version that the calls of the service are moved to.',
+            max_length=128,
+            min_length=1,
+        ),
+    ]
+    duration_ms: Annotated[int, Meta(description='Time limit of the roll-out.', ge=1)]
+    state: Literal['running', 'completed', 'rolled_back'] = 'running'
+    step: Annotated[
+        int, Meta(description='Number of steps taken since the order.', ge=0)
+    ] = 0
+    share: Annotated[
+        float,
+        Meta(
+            description='Share of the calls that may go to the target version.',
+            ge=0.0,
+            le=1.0,
+        ),
+    ] = 0
+    proven: Annotated[
+        bool,
+        Meta(
+            description='Whether the evidence is enough to accept the target version.'
+        ),
+    ] = False
+    elapsed_ms: Annotated[
+        int, Meta(description='Time from the order to the newest step.', ge=0)
+    ] = 0
+    reason: Annotated[
+        str,
+        Meta(
+            description='Evidence on which the newest step was decided.',
+            max_length=1024,
+        ),
+    ] = ''
+    ordered_at_ms: int = 0
+
+
+class OrderRollout(Struct):
+    """
+    Command that orders a roll-out.
+    """
+
+    service: Annotated[str, Meta(max_length=128, min_length=1)]
+    target: Annotated[str, Meta(max_length=128, min_length=1)]
+    duration_ms: Annotated[int, Meta(ge=1)]
+    kind: Literal['rollout'] = 'rollout'
+    operator: Annotated[str, Meta(max_length=128)] = ''
+    at_ms: int = 0
+
+
+class StepRollout(Struct):
+    """
+    Command that takes the next step of a roll-out, or ends it.
+    """
+
+    service: Annotated[str, Meta(max_length=128, min_length=1)]
+    order: int
+    step: Annotated[
+        int,
+        Meta(
+            description='Number of this step; one that does not follow the newest step has no effect.',
+            ge=1,
+        ),
+    ]
+    state: Literal['running', 'completed', 'rolled_back']
+    kind: Literal['rollout-step'] = 'rollout-step'
+    share: Annotated[float, Meta(ge=0.0, le=1.0)] = 0
+    proven: bool = False
+    elapsed_ms: Annotated[int, Meta(ge=0)] = 0
+    reason: Annotated[str, Meta(max_length=1024)] = ''
+    operator: Annotated[str, Meta(max_length=128)] = ''
+    at_ms: int = 0
+
+
+class AcceptVersions(Struct):
+    """
+    Command that records the versions of a service that were in use before any roll-out of it.
+    """
+
+    service: Annotated[str, Meta(max_length=128, min_length=1)]
+    versions: Annotated[list[str], Meta(max_length=64)]
+    kind: Literal['versions'] = 'versions'
+    at_ms: int = 0
+
+
+class RolloutRes(Struct):
+    """
+    Response to an order of a roll-out or to a question for one.
+    """
+
+    code: int
+    service: str = ''
+    rollout: Rollout | None = None
+    message: str = ''
+
+
+class RunCounts(Struct):
+    """
+    What one start of a backend server did with the calls of one route, counted since its node started.
+    """
+
+    route: Annotated[str, Meta(max_length=128)]
+    ended: Annotated[
+        int, Meta(description='Calls that were answered or failed.', ge=0)
+    ] = 0
+    failed: Annotated[int, Meta(ge=0)] = 0
+    times: Annotated[
+        list[int],
+        Meta(
+            description='Answered calls by service time; see core.evidence.time_bucket.'
+        ),
+    ] = field(default_factory=list)
+
+
+class ServerEvidence(Struct):
+    """
+    Evidence on the software version of one start of a backend server.
+    """
+
+    server: Annotated[str, Meta(max_length=64)]
+    service: Annotated[str, Meta(max_length=128)]
+    version: Annotated[str, Meta(max_length=128)]
+    incarnation: Annotated[
+        int, Meta(description='Incarnation of the node that counted.')
+    ]
+    born_ms: int = 0
+    running: Annotated[int, Meta(description='Calls that run now.', ge=0)] = 0
+    routes: Annotated[list[RunCounts], Meta(max_length=64)] = field(
+        default_factory=list
+    )
 
 
 class ServicePolicy(Struct):
@@ -166,6 +316,52 @@
     ] = 64
 
 
+Key: TypeAlias = Annotated[str, Meta(max_length=64)]
+
+
+Rank: TypeAlias = Annotated[
+    int,
+    Meta(
+        description='Priority, which replaces that of the route; null for none.', ge=0
+    ),
+]
+
+
+class Customer(Struct):
+    """
+    A customer whose callers identify themselves by API keys.
+    """
+
+    name: Annotated[str, Meta(max_length=128, min_length=1)]
+    keys: Annotated[
+        list[Key],
+        Meta(description='Digests of the API keys; see core.customers.key_digest.'),
+    ] = field(default_factory=list)
+    rank: (
+        Annotated[
+            Rank,
+            Meta(
+                description='Priority, which replaces that of the route; null for none.'
+            ),
+        ]
+        | None
+    ) = None
+    rate: Annotated[
+        float,
+        Meta(
+            description='Quota in requests per second over all nodes; 0 for none.',
+            ge=0.0,
+        ),
+    ] = 0
+    burst: Annotated[
+        float,
+        Meta(
+            description='Requests beyond the rate that a quiet customer may send at once.',
+            ge=0.0,
+        ),
+    ] = 0
+
+
 class CallerLimits(Struct):
     """
     Limits on the size and the duration of requests from callers.
@@ -193,6 +389,9 @@
     routes: list[HostRoute]
     services: list[ServicePolicy]
     limits: CallerLimits | None = None
+    customers: Annotated[list[Customer], Meta(max_length=100000)] = field(
+        default_factory=list
+    )
     source: Annotated[
         str,
         Meta(description='The document as the operator sent it, returned on reads.'),
@@ -236,6 +435,18 @@
     ] = field(default_factory=list)
     services: list[ServicePolicy] | None = None
     limits: CallerLimits | None = None
+    customers: Annotated[
+        list[Customer], Meta(description='New and changed customers.')
+    ] = field(default_factory=list)
+    customer_order: (
+        Annotated[
+            list[str],
+            Meta(
+                description='Names of all customers, if their order or number changed.'
+            ),
+        ]
+        | None
+    ) = None
     edits: Annotated[
         list[TextEdit], Meta(description='Edits to the source document.')
     ] = field(default_factory=list)
@@ -296,6 +507,12 @@
     caller: Annotated[
         str, Meta(description='Service that made the call.', max_length=128)
     ] = ''
+    customer: Annotated[
+        str,
+        Meta(
+            description='Customer that made the call; empty for none.', max_length=128
+        ),
+    ] = ''
     returning: Annotated[
         bool,
         Meta(
@@ -464,6 +681,13 @@
         int,
         Meta(description='Requests that the server runs concurrently; 0 if unknown.'),
     ] = 0
+    version: Annotated[
+        str,
+        Meta(
+            description="Version of the server's software; empty if unknown.",
+            max_length=128,
+        ),
+    ] = ''
     born_ms: Annotated[
         int, Meta(description='Start time of the backend server, ms since the epoch.')
     ] = 0
@@ -521,6 +745,13 @@
     ] = 0
     reject_code: int = 0
     endpoint: Endpoint | None = None
+    evidence: (
+        Annotated[
+            ServerEvidence,
+            Meta(description="On the node's server, while its service is rolled out."),
+        ]
+        | None
+    ) = None
     unproven: Annotated[
         bool,
         Meta(
@@ -552,6 +783,13 @@
             ge=0,
         ),
     ] = 0
+    version: Annotated[
+        str,
+        Meta(
+            description="Version of the server's software; empty if unknown.",
+            max_length=128,
+        ),
+    ] = ''
     born_ms: Annotated[
         int, Meta(description='Start time of the server, ms since the epoch.')
     ] = 0
@@ -837,26 +1075,16 @@
     retry_after_ms: int = 0
 
 
-class Part(Struct):
+class ServiceVersions(Struct):
     """
-    Configuration of one service; the unit of distribution to nodes.
+    Which software versions of a service may get calls, and the roll-out of another one.
     """
 
-    service: str
-    slots: Annotated[int, Meta(ge=1)]
-    connections: Annotated[int, Meta(ge=1)]
-    callers: list[str]
-    routes: list[Route]
-    weights: Annotated[
-        dict[str, int], Meta(description='Weight in percent by availability zone.')
-    ] = field(default_factory=dict)
-    shared: Annotated[
-        bool,
-        Meta(description='Whether every node receives the part, whatever its service.'),
-    ] = False
-    host_route: HostRoute | None = None
-    policy: ServicePolicy | None = None
-    limits: CallerLimits | None = None
+    service: Annotated[str, Meta(max_length=128, min_length=1)]
+    accepted: Annotated[
+        list[str], Meta(description='Versions that get calls in any case.')
+    ]
+    rollout: Rollout | None = None
 
 
 class JoinRes(Struct):
@@ -867,44 +1095,6 @@
     members: list[Member]
 
 
-class Delta(Struct):
-    """
-    Difference between two configuration versions within the scope of one node.
-    """
-
-    version: Annotated[int, Meta(ge=1)]
-    base: Annotated[
-        int,
-        Meta(description='Version that the delta applies to; 0 for a snapshot.', ge=0),
-    ]
-    digest: Annotated[
-        str, Meta(description='Digest of the manifest after applying the delta.')
-    ]
-    parts: list[Part] = field(default_factory=list)
-    removed: list[str] = field(default_factory=list)
-
-
-class SyncRes(Struct):
-    """
-    Response to a node's long poll.
-    """
-
-    code: int
-    delta: Delta | None = None
-    endpoints: EndpointDelta | None = None
-    redirect: Annotated[
-        str, Meta(description='Address of the control VM to poll instead.')
-    ] = ''
-    leased: Annotated[
-        bool, Meta(description='Whether the control VM holds a serving lease.')
-    ] = True
-    retry_after_ms: int = 0
-    zone: Annotated[str, Meta(description='Availability zone of the control VM.')] = ''
-    peers: Annotated[
-        list[ControlPeer], Meta(description='Control VMs that the node may poll.')
-    ] = field(default_factory=list)
-
-
 class ZoneReport(Struct):
     """
     One control VM's state, used to decide what a zone without a leader may serve.
@@ -958,6 +1148,68 @@
     message: str = ''
 
 
+class Part(Struct):
+    """
+    Configuration of one service; the unit of distribution to nodes.
+    """
+
+    service: str
+    slots: Annotated[int, Meta(ge=1)]
+    connections: Annotated[int, Meta(ge=1)]
+    callers: list[str]
+    routes: list[Route]
+    weights: Annotated[
+        dict[str, int], Meta(description='Weight in percent by availability zone.')
+    ] = field(default_factory=dict)
+    shared: Annotated[
+        bool,
+        Meta(description='Whether every node receives the part, whatever its service.'),
+    ] = False
+    host_route: HostRoute | None = None
+    policy: ServicePolicy | None = None
+    limits: CallerLimits | None = None
+    customer: Customer | None = None
+    versions: ServiceVersions | None = None
+
+
+class Delta(Struct):
+    """
+    Difference between two configuration versions within the scope of one node.
+    """
+
+    version: Annotated[int, Meta(ge=1)]
+    base: Annotated[
+        int,
+        Meta(description='Version that the delta applies to; 0 for a snapshot.', ge=0),
+    ]
+    digest: Annotated[
+        str, Meta(description='Digest of the manifest after applying the delta.')
+    ]
+    parts: list[Part] = field(default_factory=list)
+    removed: list[str] = field(default_factory=list)
+
+
+class SyncRes(Struct):
+    """
+    Response to a node's long poll.
+    """
+
+    code: int
+    delta: Delta | None = None
+    endpoints: EndpointDelta | None = None
+    redirect: Annotated[
+        str, Meta(description='Address of the control VM to poll instead.')
+    ] = ''
+    leased: Annotated[
+        bool, Meta(description='Whether the control VM holds a serving lease.')
+    ] = True
+    retry_after_ms: int = 0
+    zone: Annotated[str, Meta(description='Availability zone of the control VM.')] = ''
+    peers: Annotated[
+        list[ControlPeer], Meta(description='Control VMs that the node may poll.')
+    ] = field(default_factory=list)
+
+
 class VersionDetail(Struct):
     """
     One accepted configuration version with its parts; the newest also with its source documents.
--- a/papayalock/native.py
+++ b/papayalock/native.py
@@ -9,6 +9,7 @@
     CallerMetadata,
     Departure,
     ErrorResponse,
+    KeyDigest,
 )
 from papayalock.httpclient import Headers
 from papayalock.messages import (
@@ -26,9 +27,17 @@
 CALLER_HEADER = b'papayalock-caller'
 LIMIT_HEADER = b'papayalock-limit'
 LEAVING_HEADER = b'papayalock-leaving'
+API_KEY_HEADER = b'papayalock-api-key'
+CUSTOMER_HEADER = b'papayalock-customer'
 # Set by the node; values sent by the caller are dropped.
 OVERWRITTEN_HEADERS = frozenset(
-    (REMAINING_HEADER, SERVER_HEADER, CALLER_HEADER)
+    (
+        REMAINING_HEADER,
+        SERVER_HEADER,
+        CALLER_HEADER,
+        API_KEY_HEADER,
+        CUSTOMER_HEADER,
+    )
 )
 MS_PER_S = 1000
 OK = 200
@@ -77,7 +86,15 @@
         """Reads the call id and the remaining time."""
         remaining = call.header(REMAINING_HEADER)
         deadline_ms = int(remaining[:9]) if remaining.isdigit() else 0
-        return CallerMetadata(call.header(CALL_HEADER).decode(), deadline_ms)
+        return CallerMetadata(
+            call.header(CALL_HEADER).decode(),
+            deadline_ms,
+            call.header(API_KEY_HEADER).decode('latin-1'),
+        )
+
+    def without_api_key(self, headers: Headers) -> Headers:
+        """Drops the header with the API key."""
+        return [pair for pair in headers if pair[0] != API_KEY_HEADER]
 
     def backend_headers(
         self, headers: Headers, metadata: BackendMetadata
@@ -89,6 +106,8 @@
         forwarded.append((REMAINING_HEADER, b'%d' % metadata.remaining_ms))
         forwarded.append((SERVER_HEADER, metadata.server.encode()))
         forwarded.append((CALLER_HEADER, metadata.caller.encode()))
+        if metadata.customer:
+            forwarded.append((CUSTOMER_HEADER, metadata.customer.encode()))
         return forwarded
 
     def matches_call(self, headers: Headers, call: str) -> bool:
@@ -147,8 +166,8 @@
 
     path = '/v1/routes'
 
-    def read(self, body: bytes) -> RouteSet:
-        """Decodes a route set from JSON."""
+    def read(self, body: bytes, key_digest: KeyDigest) -> RouteSet:
+        """Decodes a route set from JSON; it holds digests of API keys."""
         try:
             return _ROUTE_SET.decode(body)
         except msgspec.MsgspecError as exc:
--- a/papayalock/node/accesslog.py
+++ b/papayalock/node/accesslog.py
@@ -12,7 +12,7 @@
 from papayalock.core.budget import SharedBudget
 from papayalock.core.directory import KnownServer
 from papayalock.dialect import CallerMetadata
-from papayalock.messages import HostRoute
+from papayalock.messages import Customer, HostRoute
 from papayalock.node.hostagent import HostAgent
 from papayalock.node.hostmetrics import HostMetrics
 from papayalock.node.http import Call
@@ -106,8 +106,16 @@
     target_at: float
     returning: bool
     request: str  # digest of its content
+    customer: Customer | None = None
     tries: list[TryRecord] = field(default_factory=list)
 
+    @property
+    def rank(self) -> int:
+        """Priority of the call; 0 is the highest."""
+        if self.customer is None or self.customer.rank is None:
+            return self.route.rank
+        return self.customer.rank
+
     @property
     def tried_servers(self) -> frozenset[str]:
         """Names of the servers that were tried."""
@@ -158,7 +166,7 @@
         code = (
             Code.DONE if isinstance(outcome, ServerResponse) else outcome.code
         )
-        self._metrics.count(code, routed.route.name, routed.route.rank, took_s)
+        self._metrics.count(code, routed.route.name, routed.rank, took_s)
         if isinstance(outcome, NoResponse):
             message = 'call refused' if code.not_run else 'call failed'
         elif outcome.failed:
@@ -186,8 +194,9 @@
         fields: Fields = {
             'call': routed.metadata.call,
             'route': routed.route.name,
-            'rank': routed.route.rank,
+            'rank': routed.rank,
             'service': routed.service,
+            'customer': routed.customer.name if routed.customer else '',
             'version': self._agent.configuration.version,
             'took_ms': round((now - routed.arrived_at) * MS_PER_S, 1),
             'left_ms': round((routed.deadline_at - now) * MS_PER_S),
--- a/papayalock/node/hostagent.py
+++ b/papayalock/node/hostagent.py
@@ -210,6 +210,7 @@
             incarnation=self.incarnation,
             state=self._state(),
             slots=current.slots,
+            version=current.version,
             born_ms=current.born_ms,
             heartbeat=self.backend_monitor.changed_sequence,
         )
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -265,7 +265,11 @@
                 Code.DEADLINE_BEFORE_RUN, 'the deadline has passed'
             )
         metadata = BackendMetadata(
-            order.call, serving.server, order.caller, remaining_ms
+            order.call,
+            serving.server,
+            order.caller,
+            remaining_ms,
+            order.customer,
         )
         req = self._request(call, metadata)
         failures = self.callee_failures
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -2,6 +2,7 @@
 
 from papayalock.core.budget import SharedBudget
 from papayalock.core.crashes import request_digest
+from papayalock.core.customers import key_digest
 from papayalock.core.hedging import (
     FREE_SLOT_SEARCH_SHARE,
     CallProgress,
@@ -11,7 +12,7 @@
 from papayalock.core.placement import Placement
 from papayalock.core.shutdowntimes import RETRY_AFTER_MS, ShutdownTimes
 from papayalock.dialect import CallDialect
-from papayalock.messages import HostRoute
+from papayalock.messages import Customer, HostRoute
 from papayalock.node.accesslog import AccessLog, RoutedCall
 from papayalock.node.crashreports import CrashReports
 from papayalock.node.hedge import HedgedCall
@@ -114,12 +115,27 @@
         if route is None:
             return NoResponse(Code.NO_ROUTE, f'no route for {host}{path}')
         routed = self._apply_route(call, route)
+        if self._agent.host_table.customers.customers:
+            routed.call = self._without_api_key(call)
+            routed.customer = self._find_customer(routed)
+            if routed.customer is None and not route.public:
+                return NoResponse(Code.UNKNOWN_API_KEY, 'unknown API key')
         if self._shutdown_times.refuses_local(
             routed.deadline_at, routed.arrived_at
         ):
             return NoResponse(Code.DRAINING, 'the node stops', RETRY_AFTER_MS)
         return routed
 
+    def _find_customer(self, routed: RoutedCall) -> Customer | None:
+        """Returns the customer whose API key a call has, or None."""
+        digest = key_digest(routed.metadata.api_key, self._digest_key)
+        return self._agent.host_table.customers.find(digest)
+
+    def _without_api_key(self, call: Call) -> Call:
+        """Returns a call whose API key does not leave this node."""
+        headers = self._dialect.without_api_key(call.headers)
+        return Call(call.method, call.target, headers, call.body)
+
     def _apply_route(self, call: Call, route: HostRoute) -> RoutedCall:
         now = self._clock.monotonic()
         metadata = self._dialect.read_metadata(call)
--- a/papayalock/result.py
+++ b/papayalock/result.py
@@ -24,6 +24,7 @@
     NOT_CONFIGURED = 113
     OTHER_SERVER = 114
     QUARANTINED = 115
+    UNKNOWN_API_KEY = 116
     # Calls: the request may have run.
     UNKNOWN_TIMEOUT = 200
     UNKNOWN_BROKEN = 201
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -24,7 +24,8 @@
     '|x-request-deadline|x-instance-id|server-limit|server-leaving'
     '|heartbeat_address|traffic_split'
     '|route_type|path_prefix|cold_remaining|control_plane|local_node'
-    '|max_header_bytes|base_version|/v1/config|/v1/instances',
+    '|max_header_bytes|base_version|/v1/config|/v1/instances'
+    '|x-tenant-id|api_keys|rate_per_s|target_version|/v1/rollouts',
     re.IGNORECASE,
 )
 CONFIG = {
@@ -86,7 +87,7 @@
 
 class TestOperator:
     def read(self, config: object):
-        return FleetOperator().read(json.dumps(config).encode())
+        return FleetOperator().read(json.dumps(config).encode(), str.upper)
 
     def test_a_configuration_is_decoded(self):
         routes = self.read(CONFIG)
@@ -103,7 +104,46 @@
     def test_a_configuration_is_rendered_as_it_was_sent(self):
         body = json.dumps(CONFIG, indent=1).encode()
         adapter = FleetOperator()
-        assert adapter.render(adapter.read(body)) == body
+        assert adapter.render(adapter.read(body, str.upper)) == body
+
+    def test_large_responses_are_repeatable_and_public_routes_known(self):
+        download = {
+            **CONFIG['routes'][1],
+            'route_type': 'download',
+            'public': True,
+        }
+        route = self.read({**CONFIG, 'routes': [download]}).routes[0]
+        assert (route.repeatable, route.large, route.public) == (
+            True,
+            True,
+            True,
+        )
+
+    def test_an_unknown_route_type_is_not_repeated_and_is_logged(self, caplog):
+        stream = {**CONFIG['routes'][1], 'route_type': 'stream'}
+        route = self.read({**CONFIG, 'routes': [stream]}).routes[0]
+        assert not route.repeatable
+        assert caplog.records[-1].types == ['stream']
+
+    def test_customers_keep_every_field_but_the_keys_themselves(self):
+        tenants = [
+            {
+                'name': 'c1',
+                'api_keys': ['secret1', 'secret2'],
+                'priority': 1,
+                'rate_per_s': 201,
+                'burst': 20,
+            },
+            {'name': 'c2', 'api_keys': [], 'rate_per_s': None},
+        ]
+        first, second = self.read({**CONFIG, 'tenants': tenants}).customers
+        assert (first.keys, first.rank, first.rate, first.burst) == (
+            ['SECRET1', 'SECRET2'],
+            1,
+            201,
+            20,
+        )
+        assert (second.rank, second.rate, second.burst) == (None, 0, 0)
 
     @pytest.mark.parametrize(
         'body',
@@ -122,7 +162,7 @@
     def test_a_malformed_configuration_is_invalid(self, body):
         adapter = FleetOperator()
         with pytest.raises(PapayalockError) as caught:
-            adapter.read(body)
+            adapter.read(body, str.upper)
         assert adapter.error_status(caught.value.code) == 400
 
     @pytest.mark.parametrize(
@@ -141,7 +181,7 @@
         )
         config = {**CONFIG, 'routes': [{**split, **change}]}
         with pytest.raises(PapayalockError) as caught:
-            FleetOperator().read(json.dumps(config).encode())
+            FleetOperator().read(json.dumps(config).encode(), str.upper)
         assert caught.value.code == Code.INVALID
         assert split['name'] in str(caught.value)
 
@@ -225,6 +265,18 @@
         assert (b'x-target-instance', b'i-1') in headers
         assert len(headers) == 4
 
+    def test_the_api_key_is_read_and_the_customer_set(self):
+        key = (b'authorization', b'Bearer k1')
+        call = Call(b'GET', b'/', [key, (b'x-tenant-id', b'forged')])
+        assert self.CALLS.read_metadata(call).api_key == 'k1'
+        assert 'k1' not in repr(self.CALLS.read_metadata(call))
+        assert key not in self.CALLS.without_api_key(call.headers)
+        metadata = BackendMetadata('1', 'i-1', 's1', 250, 'c1')
+        headers = self.CALLS.backend_headers(call.headers, metadata)
+        customers = [text for name, text in headers if name == b'x-tenant-id']
+        assert customers == [b'c1']
+        assert self.CALLS.error_response(Code.UNKNOWN_API_KEY, 0).status == 401
+
     def test_only_a_not_run_code_gives_a_retryable_status(self):
         assert self.CALLS.error_response(Code.SHED, 250).status == 503
         assert self.CALLS.error_response(Code.NOT_CONFIGURED, 0).status == 503
