Roll out software versions of services, step by step on evidence

Callers of a service whose operators order another version got whatever version announced itself: an order was answered 404, and a bad version had its share of all calls from the first heartbeat on.

Cause: nothing in the product knew versions of servers.

Change (docs/design/rollouts.rst says what was weighed): accepted versions, orders and steps are commands of the replicated log; their state reaches nodes as a shared part of the configuration, so deltas, digests and the audit hold for it. A node gives the new version its share of first tries only, and none without a control VM under lease; gates refuse what the configuration does not allow and report, by route and start of the server, what became of each call. The leader judges these by a CUSUM per server and takes the next step, completes, or rolls back. Off where settings bound no exposure: the control template turns it on with the bound of the deployment.

Found on the way: numbers that change their form between encoder and decoder (0 and 0.0) gave a part two digests, and 80 nodes refused the version; a test compares the digests of every state of the part.

--- a/bench/loadmodel/baseline.py
+++ b/bench/loadmodel/baseline.py
@@ -4,6 +4,7 @@
 
 from papayalock.core.admission import Job, ServerGate
 from papayalock.core.directory import KnownServer
+from papayalock.core.exposure import Cohort
 from papayalock.core.gate import AdmissionResult, Queued, Shed, Started
 from papayalock.core.placement import NONE_TRIED, Placement
 from papayalock.result import Code
@@ -23,9 +24,10 @@
         now: float,
         avoid: frozenset[str] = NONE_TRIED,
         route: str = '',
+        cohort: Cohort | None = None,
     ) -> KnownServer | None:
         """Returns a random ready server outside ``avoid``, or None."""
-        candidates = self._untried(service, avoid)
+        candidates = self._untried(service, avoid, cohort)
         return self.rng.choice(candidates) if candidates else None
 
     choose_free = choose
--- a/papayalock/commands.py
+++ b/papayalock/commands.py
@@ -3,21 +3,35 @@
 import msgspec
 
 from papayalock.messages import (
+    AcceptVersions,
     Claim,
     Finish,
     Noop,
+    OrderRollout,
     Publish,
     Revise,
     SetExistence,
     SetMember,
+    StepRollout,
     Submit,
 )
 from papayalock.result import Code, PapayalockError
 
 Command = (
-    Claim | Finish | Noop | Publish | Revise | SetExistence | SetMember | Submit
+    AcceptVersions
+    | Claim
+    | Finish
+    | Noop
+    | OrderRollout
+    | Publish
+    | Revise
+    | SetExistence
+    | SetMember
+    | StepRollout
+    | Submit
 )
 Publication = Publish | Revise
+RolloutCommand = AcceptVersions | OrderRollout | StepRollout
 
 
 class _Kind(msgspec.Struct):
@@ -32,7 +46,10 @@
     'noop': Noop,
     'publish': Publish,
     'revise': Revise,
+    'rollout': OrderRollout,
+    'rollout-step': StepRollout,
     'submit': Submit,
+    'versions': AcceptVersions,
 }
 _KIND_DECODER = msgspec.json.Decoder(_Kind)
 _DECODERS = {
--- a/papayalock/control/coordinator.py
+++ b/papayalock/control/coordinator.py
@@ -151,6 +151,27 @@
         )
         return msgspec.convert(res, PublishRes)
 
+    async def commit(
+        self, command: Command, path: str, *, forwarded: bool
+    ) -> Any:
+        """Commits a command of the config group, here or through the leader.
+
+        :param path: where the leader takes the command
+        :raises PapayalockError: when no leader responded; the command may
+            have been committed
+        """
+        return await self._commit(
+            CONFIG_GROUP, command, path, forwarded=forwarded
+        )
+
+    async def catch_up(self) -> None:
+        """Waits until this VM has applied all that was committed before.
+
+        :raises PapayalockError: when :meth:`read_index` fails, or it took too
+            long
+        """
+        await self.config_group.wait_applied(await self.read_index())
+
     async def read_index(self, *, forwarded: bool = False) -> int:
         """Returns a log index that covers every commit before the call.
 
@@ -170,7 +191,7 @@
         :raises PapayalockError: when :meth:`read_index` fails, or this VM did
             not apply the log up to that index in time
         """
-        await self.config_group.wait_applied(await self.read_index())
+        await self.catch_up()
         return self.ledger.route_sets.current
 
     async def send_to_leader(
--- a/papayalock/control/distributor.py
+++ b/papayalock/control/distributor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -30,6 +31,7 @@
 from papayalock.messages import (
     ControlPeer,
     EndpointDelta,
+    ServerEvidence,
     SyncReq,
     VersionInfo,
     ZoneReport,
@@ -119,6 +121,7 @@
         self.journal = journal
         self.rejections: dict[str, tuple[int, int]] = {}
         self.attached: dict[str, SyncReq] = {}
+        self.on_evidence: Callable[[ServerEvidence], None] | None = None
         self._zone = zone
         self._group = group
         self._ledger = ledger
@@ -222,6 +225,8 @@
                     'code': req.reject_code,
                 },
             )
+        if req.evidence is not None and self.on_evidence is not None:
+            self.on_evidence(req.evidence)
         if req.endpoint is not None and self.table.attach(req.endpoint, now):
             self.notify_change()
 
--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -26,6 +26,8 @@
 from papayalock.control.identity import Identity, load_or_create_identity
 from papayalock.control.membermanager import MemberManager
 from papayalock.control.peertransport import PeerTransport
+from papayalock.control.rolloutapi import RolloutApi
+from papayalock.control.rolloutmanager import RolloutManager
 from papayalock.control.server import ControlServer
 from papayalock.control.status import StatusReader
 from papayalock.control.storage import GroupStorage
@@ -130,6 +132,11 @@
         if isinstance(distributor, AnyZoneDistributor):
             distributor.read_index = self.coordinator.read_index
         self.member_manager = self._make_member_manager()
+        self.rollouts = RolloutManager(
+            self.coordinator,
+            self._clock,
+            settings.rollouts.exposure_share,
+        )
         self.server = ControlServer(
             self.coordinator,
             StatusReader(self.coordinator, settings.zone),
@@ -139,19 +146,12 @@
             functools.partial(
                 key_digest, secret=settings.hosts.digest_key.encode()
             ),
+            RolloutApi(self.rollouts, operator),
         )
 
     async def run(self) -> None:
         """Serves until a signal stops the process."""
-        tasks = [
-            asyncio.create_task(group.run()) for group in self.groups.values()
-        ]
-        tasks.append(asyncio.create_task(self.coordinator.run()))
-        if self._settings.control.auto_members:
-            tasks.append(asyncio.create_task(self.member_manager.run()))
-        tasks.append(asyncio.create_task(self.journal.run()))
-        for task in tasks:
-            task.add_done_callback(self._on_task_done)
+        tasks = self._start_tasks()
         host, _, port = self._settings.listen.rpartition(':')
         cfg = uvicorn.Config(
             self.server.app,
@@ -177,6 +177,19 @@
         self.pool.close()
         self.journal.flush()
 
+    def _start_tasks(self) -> 'list[asyncio.Task[None]]':
+        """Starts the periodic work."""
+        work = [group.run() for group in self.groups.values()]
+        work += [self.coordinator.run(), self.journal.run()]
+        if self._settings.rollouts.exposure_share:
+            work.append(self.rollouts.run())
+        if self._settings.control.auto_members:
+            work.append(self.member_manager.run())
+        tasks = [asyncio.create_task(coroutine) for coroutine in work]
+        for task in tasks:
+            task.add_done_callback(self._on_task_done)
+        return tasks
+
     async def _serve_metrics(self, host: str) -> asyncio.Server | None:
         port = self._settings.metrics.port
         if not port:
--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -2,8 +2,6 @@
 
 import functools
 import logging
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
 
 import msgspec
 from aioprometheus import Counter, Gauge, Registry, render
@@ -14,12 +12,22 @@
 from papayalock.compression import compress_body
 from papayalock.control.coordinator import Coordinator
 from papayalock.control.membermanager import MemberManager
+from papayalock.control.http import (
+    Handler,
+    Query,
+    decode_body,
+    error_body,
+    error_response,
+    is_forwarded,
+    json_response,
+    read_body,
+)
+from papayalock.control.rolloutapi import RolloutApi
 from papayalock.control.status import StatusReader
 from papayalock.core.routesets import validate_route_set
 from papayalock.dialect import KeyDigest, OperatorDialect
 from papayalock.messages import (
     Claim,
-    ErrorBody,
     Finish,
     JoinReq,
     PeerMessage,
@@ -37,60 +45,8 @@
 
 MS_PER_S = 1000
 API_PREFIX = '/v1/'
-MAX_BODY_BYTES = 67_108_864
 MAX_POLL_WAIT_MS = 60_000
-Message = TypeVar('Message')
-Handler = Callable[[Request], Awaitable[Response]]
 OK = 200
-UNAVAILABLE = 503
-HTTP_STATUS = {
-    Code.BAD_MESSAGE: 400,
-    Code.MESSAGE_TOO_LARGE: 413,
-    Code.UNKNOWN_VERSION: 404,
-    Code.UNKNOWN_MEMBER: 404,
-    Code.CONFLICT: 409,
-    Code.CHANGE_PENDING: 409,
-    Code.DISK_FULL: 507,
-}
-
-
-def json_response(body: object, status: int = OK) -> Response:
-    """Returns a response with a JSON body."""
-    return Response(
-        status, None, Content(b'application/json', msgspec.json.encode(body))
-    )
-
-
-def error_response(exc: PapayalockError) -> Response:
-    """Returns the HTTP response for an error."""
-    return json_response(
-        _error_body(exc), HTTP_STATUS.get(exc.code, UNAVAILABLE)
-    )
-
-
-def _error_body(exc: PapayalockError) -> ErrorBody:
-    return ErrorBody(
-        code=exc.code, name=exc.code.name, message=str(exc.args[0])
-    )
-
-
-async def read_body(request: Request) -> bytes:
-    """Returns the body of a request, chunked or not.
-
-    :raises PapayalockError: ``MESSAGE_TOO_LARGE`` as soon as more than
-        ``MAX_BODY_BYTES`` have been read
-    """
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in request.stream():
-        size += len(chunk)
-        if size > MAX_BODY_BYTES:
-            raise PapayalockError(
-                Code.MESSAGE_TOO_LARGE,
-                f'request body exceeds {MAX_BODY_BYTES} bytes',
-            )
-        chunks.append(chunk)
-    return b''.join(chunks)
 
 
 class ControlServer:
@@ -108,6 +64,7 @@
         operator: OperatorDialect,
         member_manager: MemberManager,
         key_digest: KeyDigest,
+        rollouts: RolloutApi,
     ) -> None:
         """Builds :attr:`app`, which the composition root serves.
 
@@ -116,6 +73,7 @@
         :param key_digest: returns the digest of an API key
         """
         self._key_digest = key_digest
+        self._rollouts = rollouts
         self._coordinator = coordinator
         self._status = status
         self._registry = registry
@@ -144,12 +102,14 @@
             '/v1/revise': self._publish,
             '/v1/read-index': self._read_index,
             '/v1/join': self._join,
+            **self._rollouts.posts,
         }
         status_paths = [f'{API_PREFIX}{name}' for name in self._status.readers]
         gets: dict[str, Handler] = {
             '/v1/endpoints': self._endpoints,
             '/v1/zone-report': self._zone_report,
             '/v1/metrics': self._metrics,
+            **self._rollouts.gets,
             **dict.fromkeys(status_paths, self._read_status),
         }
         for path, handler in posts.items():
@@ -171,83 +131,72 @@
         except PapayalockError as exc:
             return error_response(exc)
 
-    async def _decode(
-        self, request: Request, decoder: 'msgspec.json.Decoder[Message]'
-    ) -> Message:
-        body = await read_body(request)
-        try:
-            return decoder.decode(body)
-        except msgspec.MsgspecError as exc:
-            raise PapayalockError(Code.BAD_MESSAGE, str(exc)) from exc
-
     async def _sync(self, request: Request) -> Response:
-        req = await self._decode(request, self._sync_decoder)
+        req = await decode_body(request, self._sync_decoder)
         reply = await self._coordinator.distributor.sync(req)
         body = compress_body(msgspec.json.encode(reply))
         return Response(OK, None, Content(b'application/json', body))
 
     async def _peer(self, request: Request) -> Response:
-        for message in await self._decode(request, self._peer_decoder):
+        for message in await decode_body(request, self._peer_decoder):
             group = self._coordinator.groups.get(message.group)
             if group is not None:
                 group.deliver(message)
         return Response(OK)
 
     async def _submit(self, request: Request) -> Response:
-        command = await self._decode(request, msgspec.json.Decoder(Submit))
+        command = await decode_body(request, msgspec.json.Decoder(Submit))
         return json_response(
             await self._coordinator.submit(
-                command, forwarded=_is_forwarded(request)
+                command, forwarded=is_forwarded(request)
             )
         )
 
     async def _member(self, request: Request) -> Response:
-        command = await self._decode(request, msgspec.json.Decoder(SetMember))
+        command = await decode_body(request, msgspec.json.Decoder(SetMember))
         return json_response(
             await self._coordinator.change_member(
-                command, forwarded=_is_forwarded(request)
+                command, forwarded=is_forwarded(request)
             )
         )
 
     async def _claim(self, request: Request) -> Response:
-        command = await self._decode(request, msgspec.json.Decoder(Claim))
+        command = await decode_body(request, msgspec.json.Decoder(Claim))
         return json_response(
             await self._coordinator.claim(
-                command, forwarded=_is_forwarded(request)
+                command, forwarded=is_forwarded(request)
             )
         )
 
     async def _finish(self, request: Request) -> Response:
-        command = await self._decode(request, msgspec.json.Decoder(Finish))
+        command = await decode_body(request, msgspec.json.Decoder(Finish))
         return json_response(
             await self._coordinator.claim(
-                command, forwarded=_is_forwarded(request)
+                command, forwarded=is_forwarded(request)
             )
         )
 
     async def _publish(self, request: Request) -> Response:
         is_revision = request.path.endswith('revise')
         message_type: type[Publication] = Revise if is_revision else Publish
-        command = await self._decode(
-            request, msgspec.json.Decoder(message_type)
-        )
+        command = await decode_body(request, msgspec.json.Decoder(message_type))
         return json_response(
             await self._coordinator.publish(
-                command, forwarded=_is_forwarded(request)
+                command, forwarded=is_forwarded(request)
             )
         )
 
     async def _read_index(self, request: Request) -> Response:
         index = await self._coordinator.read_index(
-            forwarded=_is_forwarded(request)
+            forwarded=is_forwarded(request)
         )
         return json_response(ReadIndex(index=index))
 
     async def _join(self, request: Request) -> Response:
-        req = await self._decode(request, msgspec.json.Decoder(JoinReq))
+        req = await decode_body(request, msgspec.json.Decoder(JoinReq))
         return json_response(
             await self._member_manager.handle_join(
-                req, forwarded=_is_forwarded(request)
+                req, forwarded=is_forwarded(request)
             )
         )
 
@@ -260,7 +209,7 @@
                 extra={'code': exc.code, 'reason': str(exc)},
             )
             return json_response(
-                _error_body(exc), self._operator.error_status(exc.code)
+                error_body(exc), self._operator.error_status(exc.code)
             )
         log.info(
             'publication answered',
@@ -287,14 +236,14 @@
             routes = await self._coordinator.newest_routes()
         except PapayalockError as exc:
             return json_response(
-                _error_body(exc), self._operator.error_status(exc.code)
+                error_body(exc), self._operator.error_status(exc.code)
             )
         if routes is None:
             error = PapayalockError(
                 Code.UNKNOWN_VERSION, 'no routes were published yet'
             )
             return json_response(
-                _error_body(error), self._operator.error_status(error.code)
+                error_body(error), self._operator.error_status(error.code)
             )
         text = self._operator.render(routes)
         return Response(OK, None, Content(b'application/json', text))
@@ -344,41 +293,10 @@
             'members': len(replica.log.members),
             'leased': int(leased),
             'label': coordinator.ledger.route_sets.label,
+            'rollouts': self._rollouts.running,
         }
 
     async def _read_status(self, request: Request) -> Response:
         reader = self._status.readers[request.path.removeprefix(API_PREFIX)]
         query = {key: entries[0] for key, entries in request.query.items()}
         return json_response(reader(query))
-
-
-def _is_forwarded(request: Request) -> bool:
-    """Returns whether another control VM forwarded the request."""
-    return bool(Query(request).text('hop'))
-
-
-class Query:
-    """Typed access to the query parameters of a request."""
-
-    def __init__(self, request: Request) -> None:
-        """Keeps the first value of each parameter."""
-        self._fields: dict[str, str] = {
-            key: entries[0] for key, entries in request.query.items()
-        }
-
-    def text(self, key: str) -> str:
-        """Returns a parameter as text, '' when it is missing."""
-        return self._fields.get(key, '')
-
-    def number(self, key: str) -> int:
-        """Returns a parameter as a non-negative integer, 0 when it is missing.
-
-        :raises PapayalockError: ``BAD_MESSAGE`` for any other value
-        """
-        text = self._fields.get(key, '0')
-        if not text.isdigit():
-            raise PapayalockError(
-                Code.BAD_MESSAGE,
-                f'query parameter {key} is not a non-negative integer',
-            )
-        return int(text)
--- a/papayalock/core/endpoints.py
+++ b/papayalock/core/endpoints.py
@@ -62,6 +62,7 @@
             return False
         if current is not None and _undoes_drain(endpoint, current):
             return False
+        endpoint = _with_known_version(endpoint, current)
         if endpoint.state == LEFT:
             self._leases.pop(endpoint.server, None)
         else:
@@ -218,6 +219,17 @@
     return endpoint.incarnation, endpoint.sequence, endpoint.origin
 
 
+def _with_known_version(
+    endpoint: Endpoint, current: Endpoint | None
+) -> Endpoint:
+    """Adds the version that the node's previous process has reported."""
+    if endpoint.version or current is None:
+        return endpoint
+    if not start_of(endpoint).is_same(start_of(current)):
+        return endpoint
+    return msgspec.structs.replace(endpoint, version=current.version)
+
+
 def _undoes_drain(endpoint: Endpoint, current: Endpoint) -> bool:
     """Whether an old heartbeat would make a draining server ready again.
 
--- a/papayalock/core/heartbeats.py
+++ b/papayalock/core/heartbeats.py
@@ -8,7 +8,12 @@
 from enum import Enum
 
 from papayalock.core.serverstarts import OfServer, StartHistory, start_of
-from papayalock.messages import Announcement, NodeNotice, ServerNotice
+from papayalock.messages import (
+    Announcement,
+    Endpoint,
+    NodeNotice,
+    ServerNotice,
+)
 
 MS_PER_S = 1000
 CLOSE_AFTER_DRAIN_SHARE = 0.6  # of the drain time; no calls are forwarded later
@@ -188,6 +193,17 @@
         self._limit_stated_at = now
         return True
 
+    def adopt_version(self, endpoint: Endpoint) -> None:
+        """Adopts the version that this node's previous process reported.
+
+        A server that was found by a health check has not told it yet.
+        """
+        current = self.announcement
+        if current is None or current.version or not endpoint.version:
+            return
+        if self._is_current(endpoint):
+            current.version = endpoint.version
+
     def expire_lease(self) -> None:
         """Ends the lease because another server has the address.
 
--- a/papayalock/core/hedging.py
+++ b/papayalock/core/hedging.py
@@ -5,7 +5,8 @@
 
 from papayalock.core.budget import SharedBudget
 from papayalock.core.directory import KnownServer
-from papayalock.core.placement import Placement
+from papayalock.core.exposure import Cohort
+from papayalock.core.placement import NONE_TRIED, Placement
 from papayalock.result import Code
 
 
@@ -79,6 +80,8 @@
     runs: int = 0  # servers that may have run the call
     pending_tries: int = 0  # responsive tries that have not ended
     may_queue: bool = False  # whether the next try may wait in a queue
+    first_cohort: Cohort | None = None  # servers for the first try
+    cohort: Cohort | None = None  # servers for further tries
 
     def try_started(self) -> None:
         """Counts a try that begins."""
@@ -120,14 +123,15 @@
     may already have run goes to an untried server only; any other call may now
     queue, also at a server that has refused it before.
     """
+    cohort = progress.cohort if tried else progress.first_cohort
     if not progress.may_queue:
-        server = placement.choose_free(service, now, tried, route)
+        server = placement.choose_free(service, now, tried, route, cohort)
         if server is not None:
             return server
     if progress.runs:
-        return placement.choose(service, now, tried, route)
+        return placement.choose(service, now, tried, route, cohort)
     progress.may_queue = True
-    return placement.choose(service, now, route=route)
+    return placement.choose(service, now, NONE_TRIED, route, progress.cohort)
 
 
 def next_action(
--- a/papayalock/core/hostroutes.py
+++ b/papayalock/core/hostroutes.py
@@ -9,8 +9,15 @@
     customer_of,
     policy_of,
     route_of,
+    versions_of,
+)
+from papayalock.messages import (
+    CallerLimits,
+    HostRoute,
+    Part,
+    ServicePolicy,
+    ServiceVersions,
 )
-from papayalock.messages import CallerLimits, HostRoute, Part, ServicePolicy
 from papayalock.ports import Random
 
 MAX_SKIPPED_TURNS = 100  # the sequence for weights in percent is that long
@@ -69,7 +76,14 @@
     match on how many lengths the prefixes of the host have.
     """
 
-    __slots__ = ('_by_host', 'customers', 'limits', 'policies', 'routes')
+    __slots__ = (
+        '_by_host',
+        'customers',
+        'limits',
+        'policies',
+        'routes',
+        'versions',
+    )
 
     def __init__(self, parts: Iterable[Part]) -> None:
         """Indexes the shared parts of a configuration."""
@@ -77,6 +91,7 @@
         self.policies: dict[str, ServicePolicy] = {}
         self.limits: CallerLimits | None = None
         self.customers = CustomerTable()
+        self.versions: dict[str, ServiceVersions] = {}
         self._by_host: defaultdict[str, HostIndex] = defaultdict(HostIndex)
         self.update(parts, ())
 
@@ -108,12 +123,15 @@
             self.limits = part.limits
         if part.customer is not None:
             self.customers.add(part.customer)
+        if part.versions is not None:
+            self.versions[part.versions.service] = part.versions
 
     def _remove(self, name: str) -> None:
         if name == LIMITS_PART:
             self.limits = None
         self.policies.pop(policy_of(name), None)
         self.customers.remove(customer_of(name))
+        self.versions.pop(versions_of(name), None)
         route = self.routes.pop(route_of(name), None)
         if route is None:
             return
--- a/papayalock/core/ledger.py
+++ b/papayalock/core/ledger.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from papayalock.commands import Command
+from papayalock.commands import Command, RolloutCommand
 from papayalock.core.audit import AuditTrail
 from papayalock.core.derive import (
     Manifest,
@@ -17,6 +17,11 @@
     merged_register,
 )
 from papayalock.core.partnames import is_shared
+from papayalock.core.rollouts import (
+    RolloutBook,
+    RolloutResult,
+    VersionsByService,
+)
 from papayalock.core.routesets import (
     PartChanges,
     RouteSetState,
@@ -53,6 +58,7 @@
     fingerprints: dict[str, str]
     audit: list[AuditRecord]
     book: RouteSetState = msgspec.field(default_factory=RouteSetState)
+    versions_by_service: VersionsByService = msgspec.field(default_factory=dict)
 
 
 class Ledger:
@@ -74,6 +80,7 @@
         self.parts: dict[str, Part] = {}
         self.audit = AuditTrail(audit_records)
         self.route_sets = RouteSetStore()
+        self.rollouts = RolloutBook()
         self._history = history
         self._requests: dict[str, SubmitRes] = {}
         self._fingerprints: dict[str, str] = {}
@@ -107,12 +114,14 @@
 
     def apply(
         self, index: int, command: Command
-    ) -> SubmitRes | PublishRes | None:
+    ) -> SubmitRes | PublishRes | RolloutResult:
         """Applies one committed command and returns its response, if any."""
         if isinstance(command, Submit):
             return self._submit(index, command)
         if isinstance(command, Publish | Revise):
             return self._publish(index, command)
+        if isinstance(command, RolloutCommand):
+            return self._roll_out(index, command)
         if isinstance(command, SetExistence):
             self._set_existence(index, command)
         elif isinstance(command, SetMember):
@@ -132,6 +141,7 @@
             fingerprints=self._fingerprints,
             audit=self.audit.records,
             book=self.route_sets.state,
+            versions_by_service=self.rollouts.services,
         )
         return msgspec.json.encode(state).decode()
 
@@ -150,6 +160,7 @@
         self._fingerprints = state.fingerprints
         self.audit.records = state.audit
         self.route_sets.state = state.book
+        self.rollouts.services = state.versions_by_service
 
     def _submit(self, index: int, command: Submit) -> SubmitRes:
         fingerprint = submit_fingerprint(command)
@@ -237,6 +248,20 @@
             )
         return response
 
+    def _roll_out(self, index: int, command: RolloutCommand) -> RolloutResult:
+        response, changed = self.rollouts.apply(index, command)
+        if changed:
+            part = self.rollouts.part(command.service)
+            self._record_version(
+                index,
+                command.at_ms,
+                getattr(command, 'operator', ''),
+                'rollout',
+                {**self._newest_parts(), **dict([self._store_part(part)])},
+                self.rollouts.describe(command.service),
+            )
+        return response
+
     def _changed_manifest(self, changes: PartChanges) -> Manifest:
         """Returns the manifest of the newest version with changed parts."""
         manifest = dict(self._newest_parts())
@@ -293,6 +318,7 @@
         operator: str,
         cause: str,
         manifest: Manifest,
+        detail: str = '',
     ) -> None:
         previous = self._newest_parts()
         info = VersionInfo(
@@ -310,7 +336,7 @@
             cause,
             info.version,
             operator,
-            describe_change(previous, manifest),
+            detail or describe_change(previous, manifest),
         )
         if len(self.versions) > self._history:
             self._prune_versions()
--- a/papayalock/core/partnames.py
+++ b/papayalock/core/partnames.py
@@ -7,6 +7,7 @@
 CUSTOMER_PREFIX = 'customer/'
 POLICY_PREFIX = 'policy/'
 ROUTE_PREFIX = 'route/'
+VERSIONS_PREFIX = 'versions/'
 LIMITS_PART = 'limits/callers'
 SHARED_PART_MARK = '/'  # in the names of shared parts only
 
@@ -41,6 +42,16 @@
     return _suffix(name, CUSTOMER_PREFIX)
 
 
+def versions_part(service: str) -> str:
+    """Returns the name of the part with the versions of a service."""
+    return f'{VERSIONS_PREFIX}{service}'
+
+
+def versions_of(name: str) -> str:
+    """Returns the service whose versions a part holds, or ''."""
+    return _suffix(name, VERSIONS_PREFIX)
+
+
 def is_shared(name: str) -> bool:
     """Returns whether a part comes from a route set."""
     return SHARED_PART_MARK in name
--- a/papayalock/core/placement.py
+++ b/papayalock/core/placement.py
@@ -6,6 +6,7 @@
 """
 
 from papayalock.core.directory import Directory, KnownServer
+from papayalock.core.exposure import Cohort
 from papayalock.core.ratelimit import MIN_RATE
 from papayalock.messages import ServerLoad
 from papayalock.ports import Random
@@ -53,6 +54,7 @@
         now: float,
         avoid: frozenset[str] = NONE_TRIED,
         route: str = '',
+        cohort: Cohort | None = None,
     ) -> KnownServer | None:
         """Returns the server for a call, or None when there is none to try.
 
@@ -61,8 +63,9 @@
 
         :param avoid: servers that this call has already tried
         :param route: route of the call, to estimate the response size
+        :param cohort: the servers that the call may go to; None for all
         """
-        ready = self._untried(service, avoid)
+        ready = self._untried(service, avoid, cohort)
         usable = [server for server in ready if server.backoff_until <= now]
         if not usable:
             return self._first_out_of_backoff(ready, now)
@@ -74,6 +77,7 @@
         now: float,
         avoid: frozenset[str] = NONE_TRIED,
         route: str = '',
+        cohort: Cohort | None = None,
     ) -> KnownServer | None:
         """Returns a server that may have a free slot, or None.
 
@@ -82,31 +86,44 @@
         """
         free = [
             server
-            for server in self._untried(service, avoid)
+            for server in self._untried(service, avoid, cohort)
             if server.backoff_until <= now and _may_have_free_slot(server, now)
         ]
         return self._best(free, route, now) if free else None
 
-    def has_untried(self, service: str, avoid: frozenset[str]) -> bool:
+    def has_untried(
+        self,
+        service: str,
+        avoid: frozenset[str],
+        cohort: Cohort | None = None,
+    ) -> bool:
         """Returns whether a service has a ready server not in ``avoid``."""
-        return bool(self._untried(service, avoid))
+        return bool(self._untried(service, avoid, cohort))
 
-    def is_reachable(self, service: str, now: float) -> bool:
+    def is_reachable(
+        self, service: str, now: float, cohort: Cohort | None = None
+    ) -> bool:
         """Returns whether a service has a server that may take a call.
 
         One that only refuses calls, since it is full, can be reached.
         """
         return any(
             server.backoff_until <= now or not server.failures
-            for server in self.ready(service)
+            for server in self._members(service, cohort)
         )
 
+    def _members(
+        self, service: str, cohort: Cohort | None
+    ) -> list[KnownServer]:
+        ready = self.ready(service)
+        return ready if cohort is None else cohort.select(ready)
+
     def _untried(
-        self, service: str, avoid: frozenset[str]
+        self, service: str, avoid: frozenset[str], cohort: Cohort | None
     ) -> list[KnownServer]:
         return [
             server
-            for server in self.ready(service)
+            for server in self._members(service, cohort)
             if server.endpoint.server not in avoid
         ]
 
--- a/papayalock/dialect.py
+++ b/papayalock/dialect.py
@@ -13,7 +13,10 @@
 from papayalock.httpclient import Headers
 from papayalock.messages import (
     Announcement,
+    OrderRollout,
     PublishRes,
+    Rollout,
+    RolloutRes,
     RouteSet,
     ServerNotice,
 )
@@ -139,6 +142,7 @@
     """Translates route sets that operators publish and read."""
 
     path: str  # URL path of the route set
+    rollouts_path: str  # URL path of the roll-outs
 
     def read(self, body: bytes, key_digest: KeyDigest) -> RouteSet:
         """Decodes a route set.
@@ -148,6 +152,21 @@
         """
         ...
 
+    def read_rollout(self, body: bytes) -> OrderRollout:
+        """Decodes the order of a roll-out.
+
+        :raises PapayalockError: ``INVALID`` if it is malformed
+        """
+        ...
+
+    def rollout_status(self, res: RolloutRes) -> int:
+        """Returns the HTTP status for the result of an order."""
+        ...
+
+    def render_rollout(self, rollout: Rollout) -> bytes:
+        """Encodes the state of a roll-out in the operator's format."""
+        ...
+
     def publish_status(self, res: PublishRes) -> int:
         """Returns the HTTP status for the result of a publication."""
         ...
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -189,7 +189,7 @@
             ge=0.0,
             le=1.0,
         ),
-    ] = 0
+    ] = 0.0
     proven: Annotated[
         bool,
         Meta(
@@ -238,7 +238,7 @@
     ]
     state: Literal['running', 'completed', 'rolled_back']
     kind: Literal['rollout-step'] = 'rollout-step'
-    share: Annotated[float, Meta(ge=0.0, le=1.0)] = 0
+    share: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.0
     proven: bool = False
     elapsed_ms: Annotated[int, Meta(ge=0)] = 0
     reason: Annotated[str, Meta(max_length=1024)] = ''
@@ -246,6 +246,15 @@
     at_ms: int = 0
 
 
+class AbortRollout(Struct):
+    """
+    An operator's request to roll back a roll-out that runs.
+    """
+
+    service: Annotated[str, Meta(max_length=128, min_length=1)]
+    operator: Annotated[str, Meta(max_length=128)] = ''
+
+
 class AcceptVersions(Struct):
     """
     Command that records the versions of a service that were in use before any roll-out of it.
@@ -270,7 +279,7 @@
 
 class RunCounts(Struct):
     """
-    What one start of a backend server did with the calls of one route, counted since its node started.
+    What one start of a backend server did with the calls of one route.
     """
 
     route: Annotated[str, Meta(max_length=128)]
@@ -297,6 +306,10 @@
     incarnation: Annotated[
         int, Meta(description='Incarnation of the node that counted.')
     ]
+    zone: Annotated[str, Meta(max_length=64)] = ''
+    order: Annotated[
+        int, Meta(description='The roll-out, since whose order the calls are counted.')
+    ] = 0
     born_ms: int = 0
     running: Annotated[int, Meta(description='Calls that run now.', ge=0)] = 0
     routes: Annotated[list[RunCounts], Meta(max_length=64)] = field(
@@ -352,14 +365,14 @@
             description='Quota in requests per second over all nodes; 0 for none.',
             ge=0.0,
         ),
-    ] = 0
+    ] = 0.0
     burst: Annotated[
         float,
         Meta(
             description='Requests beyond the rate that a quiet customer may send at once.',
             ge=0.0,
         ),
-    ] = 0
+    ] = 0.0
 
 
 class CallerLimits(Struct):
--- a/papayalock/native.py
+++ b/papayalock/native.py
@@ -14,7 +14,10 @@
 from papayalock.httpclient import Headers
 from papayalock.messages import (
     Announcement,
+    OrderRollout,
     PublishRes,
+    Rollout,
+    RolloutRes,
     RouteSet,
     ServerNotice,
 )
@@ -46,6 +49,7 @@
 UNAVAILABLE = 503
 _RATE = re.compile(rb'[0-9]{1,9}(\.[0-9]{1,9})?')
 _ANNOUNCEMENT = msgspec.json.Decoder(Announcement)
+_ORDER_ROLLOUT = msgspec.json.Decoder(OrderRollout)
 _ROUTE_SET = msgspec.json.Decoder(RouteSet)
 
 
@@ -165,6 +169,7 @@
     """Translates route sets as JSON under ``/v1/routes``."""
 
     path = '/v1/routes'
+    rollouts_path = '/v1/rollout'
 
     def read(self, body: bytes, key_digest: KeyDigest) -> RouteSet:
         """Decodes a route set from JSON; it holds digests of API keys."""
@@ -173,6 +178,21 @@
         except msgspec.MsgspecError as exc:
             raise PapayalockError(Code.INVALID, str(exc)) from exc
 
+    def read_rollout(self, body: bytes) -> OrderRollout:
+        """Decodes the order of a roll-out from JSON."""
+        try:
+            return _ORDER_ROLLOUT.decode(body)
+        except msgspec.MsgspecError as exc:
+            raise PapayalockError(Code.INVALID, str(exc)) from exc
+
+    def rollout_status(self, res: RolloutRes) -> int:
+        """Returns 200, or 409 while another roll-out runs."""
+        return OK if res.code == Code.DONE else CONFLICT
+
+    def render_rollout(self, rollout: Rollout) -> bytes:
+        """Encodes a roll-out as JSON."""
+        return msgspec.json.encode(rollout)
+
     def publish_status(self, res: PublishRes) -> int:
         """Returns 200, 409 for a conflicting publication, or 400."""
         if res.code == Code.DONE:
--- a/papayalock/node/hedge.py
+++ b/papayalock/node/hedge.py
@@ -187,7 +187,7 @@
             code,
             arrived=arrived,
             has_untried=self._placement.has_untried(
-                routed.service, routed.tried_servers
+                routed.service, routed.tried_servers, self._progress.cohort
             ),
             now=now,
             service_s=routed.route.target_ms / MS_PER_S / 2,
--- a/papayalock/node/hostagent.py
+++ b/papayalock/node/hostagent.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from papayalock.core.controlselector import ControlSelector
+from papayalock.core.exposure import Exposure
 from papayalock.core.heartbeats import BackendMonitor
 from papayalock.core.hostroutes import HostRouteTable
 from papayalock.core.placement import Placement
@@ -16,6 +18,7 @@
     Delta,
     Endpoint,
     EndpointDelta,
+    ServerEvidence,
     SyncReq,
     SyncRes,
 )
@@ -26,6 +29,7 @@
 
 log = logging.getLogger(__name__)
 
+EVIDENCE_POLL_MS = 300  # longest poll while the server's version is on trial
 MIN_REFUSED_POLLS = 3  # refused polls before an unproven version is requested
 
 
@@ -72,6 +76,8 @@
             margin_ms=margin_ms,
         )
         self.host_table = HostRouteTable([])
+        self.exposure = Exposure(rng)
+        self.read_evidence: Callable[[], ServerEvidence | None] | None = None
         self.stopping = False
         self.backend_monitor = backend_monitor
         self.placement = placement
@@ -134,7 +140,9 @@
         self._control_selector.record_response(
             self._polled_address, res.zone, res.peers
         )
-        if not res.leased:
+        if res.leased:
+            self.exposure.renew_grant(now)
+        else:
             self._control_selector.record_failure(self._polled_address, now)
         self._reported_revision = max(
             self._reported_revision, self._sent_revision
@@ -158,6 +166,7 @@
             self.host_table.update(delta.parts, delta.removed)
         else:
             self.host_table = HostRouteTable(delta.parts)
+        self.exposure.services = self.host_table.versions
 
     def _apply_endpoints(self, delta: EndpointDelta) -> None:
         super()._apply_endpoints(delta)
@@ -173,6 +182,7 @@
         current = self.backend_monitor.announcement
         if current is None or current.server != endpoint.server:
             return
+        self.backend_monitor.adopt_version(endpoint)
         newer = is_outdated(
             start_of(current),
             self.backend_monitor.changed_sequence,
@@ -194,6 +204,10 @@
         # no configuration. An unproven version is then better than none.
         min_refused = max(MIN_REFUSED_POLLS, self._control_selector.count)
         no_quorum = self._unproven_refusals >= min_refused
+        if self.read_evidence is not None:
+            req.evidence = self.read_evidence()
+        if req.evidence is not None:
+            req.wait_ms = min(wait_ms, EVIDENCE_POLL_MS)
         req.unproven = no_quorum and req.version == 0
         self._sent_revision = self._state_revision
         return req
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -21,6 +21,7 @@
 from papayalock.node.listener import HttpServer, ServerLimits
 from papayalock.node.outbound import OutboundProxy
 from papayalock.node.pools import NodePools
+from papayalock.node.runstats import RunStats
 from papayalock.node.shutdown import Shutdown, install_stop_signals
 from papayalock.node.slotqueue import SlotQueue
 from papayalock.settings import Settings
@@ -86,7 +87,14 @@
             hosts.alive_ms,
             self.lag,
             self.crashes.reports,
-        )
+            RunStats(
+                self.agent.exposure,
+                self.backend_monitor,
+                settings.zone,
+                self.agent.incarnation,
+            ),
+        )
+        self.agent.read_evidence = self.inbound.run_stats.report
         self.outbound = OutboundProxy(
             settings,
             self.agent,
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -40,6 +40,7 @@
     ServerResponse,
 )
 from papayalock.node.relayedcall import HOP_BY_HOP_HEADERS, LOAD_HEADER
+from papayalock.node.runstats import RunStats
 from papayalock.node.slotqueue import AdmissionRefused, SlotQueue
 from papayalock.pool import Pool
 from papayalock.ports import Clock
@@ -89,6 +90,7 @@
         alive_ms: int,
         lag: LoopLag,
         crash_reports: CrashReports,
+        run_stats: RunStats,
     ) -> None:
         """Starts without calls.
 
@@ -106,6 +108,7 @@
         self._running: set[asyncio.Task[Outcome]] = set()
         self._conns: dict[ClientConn, ServerStart] = {}  # that carry a call
         self._start: ServerStart | None = None
+        self.run_stats = run_stats
         self._crash_reports = crash_reports
         self._crash_watch = CrashWatch(crash_reports, monitor, pool, clock)
         self.notices = BackendNotices(monitor, dialect, clock)
@@ -252,6 +255,10 @@
                 Code.OTHER_SERVER,
                 f'{serving.server} is here, not {order.server}',
             )
+        if not self.run_stats.admits(serving):
+            return NoResponse(
+                Code.NO_SERVER, f'version {serving.version} is not accepted'
+            )
         return serving
 
     async def _send(self, order: HopOrder, call: Call, job: Job) -> Outcome:
@@ -273,19 +280,35 @@
         )
         req = self._request(call, metadata)
         failures = self.callee_failures
+        self.run_stats.running += 1
         try:
             outcome = await self._run_watched(req, serving, order, remaining_ms)
         except TransportError as exc:
             if exc.sent:
                 await self._crash_watch.check(serving)
             self._gate.record_outcome(failed=True)
-            return NoResponse(exc.code, str(exc), arrived=exc.sent)
+            outcome = NoResponse(exc.code, str(exc), arrived=exc.sent)
+            self._record_run(serving, order, outcome, now)
+            return outcome
+        finally:
+            self.run_stats.running -= 1
         if isinstance(outcome, ServerResponse) and outcome.failed:
             callee_failed = self.callee_failures != failures
             outcome = replace(outcome, callee_failed=callee_failed)
         self._record_health(outcome, job)
+        self._record_run(serving, order, outcome, now)
         return outcome
 
+    def _record_run(
+        self,
+        serving: Announcement,
+        order: HopOrder,
+        outcome: Outcome,
+        sent_at: float,
+    ) -> None:
+        service_s = self._clock.monotonic() - sent_at
+        self.run_stats.record(serving, order.route, outcome, service_s)
+
     async def _run_watched(
         self,
         req: Request,
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -65,7 +65,8 @@
         self._digest_key = settings.hosts.digest_key.encode()
         self._dialect = dialect
         self._clock = clock
-        self._splitter = TrafficSplitter(rng, self._placement.is_reachable)
+        self._exposure = agent.exposure
+        self._splitter = TrafficSplitter(rng, self._is_reachable)
         self._budgets: dict[str, SharedBudget] = {}
         self._searches: dict[str, SlotSearch] = {}
         self._usual_deadline_ms: dict[str, int] = {}
@@ -193,8 +194,16 @@
             search=search,
             queue_after=routed.arrived_at
             + FREE_SLOT_SEARCH_SHARE * routed.route.target_ms / MS_PER_S,
+            first_cohort=self._exposure.choose(
+                routed.service, routed.arrived_at
+            ),
+            cohort=self._exposure.repeat(routed.service),
         )
 
+    def _is_reachable(self, service: str, now: float) -> bool:
+        cohort = self._exposure.repeat(service)
+        return self._placement.is_reachable(service, now, cohort)
+
     def _budget(self, service: str) -> SharedBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -207,6 +207,21 @@
     ]
 
 
+class RolloutSettings(Struct):
+    """
+    Roll-outs of software versions of services.
+    """
+
+    exposure_share: Annotated[
+        float,
+        Meta(
+            description="Share of a service's calls that a bad version may get; 0 turns roll-outs off, and servers of all versions get calls.",
+            ge=0.0,
+            le=0.25,
+        ),
+    ]
+
+
 class MetricsSettings(Struct):
     """
     Metrics endpoint.
@@ -246,4 +261,5 @@
     audit: AuditSettings
     log: LogSettings
     hosts: HostSettings
+    rollouts: RolloutSettings
     metrics: MetricsSettings
--- a/papayalock/ui/__init__.py
+++ b/papayalock/ui/__init__.py
@@ -20,6 +20,7 @@
     'crashes',
     'member',
     'trace',
+    'rollout',
 )  # modules of this package
 EXIT_USAGE = 2
 EXIT_BY_CODE = {
--- a/test/hostmesh.py
+++ b/test/hostmesh.py
@@ -7,6 +7,7 @@
 
 from papayalock.config import make_settings
 from papayalock.core.admission import Job, ServerGate
+from papayalock.core.exposure import Exposure
 from papayalock.core.heartbeats import BackendMonitor
 from papayalock.core.placement import Placement
 from papayalock.httpclient import ClientConn, TransportError
@@ -18,6 +19,7 @@
 from papayalock.node.listener import HttpServer, ServerLimits
 from papayalock.node.outbound import OutboundProxy
 from papayalock.node.outcome import Outcome
+from papayalock.node.runstats import RunStats
 from papayalock.node.slotqueue import SlotQueue
 from papayalock.result import Code
 from test.test_heartbeats import beat
@@ -148,6 +150,7 @@
             route('once', tries=2, repeatable=False, **times),
         )
         self.placement = Placement('a', address, random.Random(seed))
+        self.exposure = Exposure(random.Random(seed))
 
 
 class MeshNode:
@@ -186,6 +189,7 @@
             settings.hosts.alive_ms,
             LoopLag(SWEEP_S),
             self.crash_reports,
+            RunStats(self.agent.exposure, self.monitor, 'a', 7),
         )
         self.outbound = OutboundProxy(
             settings,
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -38,12 +38,19 @@
 ]
 
 
+SECTION = re.compile(r'\{\{#(bounds\..+?)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
+
+
 def render(template: str, values: dict[str, str]) -> str:
     def seeds(found: re.Match[str]) -> str:
         item = found[1].removesuffix('{{,}}')
         return ', '.join(item.replace('{{.}}', seed) for seed in SEEDS)
 
-    text = re.sub(r'\{\{#seeds\}\}(.*?)\{\{/seeds\}\}', seeds, template)
+    def section(found: re.Match[str]) -> str:
+        return found[2] if f'{found[1]}|json' in values else ''
+
+    text = re.sub(SECTION, section, template)
+    text = re.sub(r'\{\{#seeds\}\}(.*?)\{\{/seeds\}\}', seeds, text)
     return re.sub(r'\{\{(.+?)\}\}', lambda found: values[found[1]], text)
 
 
@@ -59,6 +66,16 @@
         settings = load_settings(path)
         assert settings.control.addresses == SEEDS
 
+    @pytest.mark.parametrize('share', [None, 0.1])
+    def test_rollouts_are_on_where_the_deployment_bounds_exposure(
+        self, tmp_path, share
+    ):
+        template = (DEPLOY / 'control.toml.in').read_text()
+        path = tmp_path / 'control.toml'
+        overrides = {'bounds.exposure_share|json': str(share)} if share else {}
+        path.write_text(render(template, {**VALUES, **overrides}))
+        assert load_settings(path).rollouts.exposure_share == (share or 0)
+
     def test_the_retry_budget_is_taken_from_the_deployment(self, tmp_path):
         template = (DEPLOY / 'node.toml.in').read_text()
         path = tmp_path / 'node.toml'
--- a/test/test_endless.py
+++ b/test/test_endless.py
@@ -14,6 +14,7 @@
 )
 from papayalock.core.admission import Job, ServerGate
 from papayalock.core.buffers import BufferPool
+from papayalock.core.exposure import Exposure
 from papayalock.core.framing import FramingLimit
 from papayalock.core.heartbeats import BackendMonitor
 from papayalock.httpclient import Request, TransportError
@@ -24,6 +25,7 @@
 from papayalock.node.lag import LoopLag
 from papayalock.node.listener import HEADER_TIMEOUT_S
 from papayalock.node.outcome import NoResponse, ServerResponse
+from papayalock.node.runstats import RunStats
 from papayalock.node.slotqueue import SlotQueue
 from papayalock.pool import Pool
 from papayalock.result import Code
@@ -162,6 +164,7 @@
         announcement = beat(1, address=address, slots=1)
         self.monitor.record_heartbeat(announcement, clock.monotonic())
         self.gate = ServerGate()
+        exposure = Exposure(random.Random(1))
         self.inbound = InboundProxy(
             self.monitor,
             SlotQueue[Job](self.gate, clock),
@@ -172,6 +175,7 @@
             60,
             LoopLag(0.25),
             CrashReports(clock),
+            RunStats(exposure, self.monitor, 'a', 7),
         )
         self.inbound.update_slots()
 
--- a/test/test_inbound.py
+++ b/test/test_inbound.py
@@ -1,10 +1,12 @@
 """InboundProxy: admission to the local server and outcomes of its calls."""
 
 import asyncio
+import random
 
 import msgspec
 
 from papayalock.core.admission import Job, ServerGate
+from papayalock.core.exposure import Exposure
 from papayalock.core.heartbeats import BackendMonitor
 from papayalock.messages import HopOrder
 from papayalock.native import NativeCalls
@@ -13,6 +15,7 @@
 from papayalock.node.inbound import InboundProxy
 from papayalock.node.lag import LoopLag
 from papayalock.node.outcome import NoResponse, ServerResponse
+from papayalock.node.runstats import RunStats
 from papayalock.node.slotqueue import SlotQueue
 from papayalock.result import Code
 from test.test_dispatch import FakePool, Writer
@@ -54,6 +57,7 @@
         self.gate = ServerGate()
         self.lag = LoopLag(0.25)
         self.pool = FakePool(list(script))
+        self.exposure = Exposure(random.Random(1))
         self.inbound = InboundProxy(
             self.monitor,
             SlotQueue[Job](self.gate, self.clock),
@@ -64,6 +68,7 @@
             60,
             self.lag,
             CrashReports(self.clock),
+            RunStats(self.exposure, self.monitor, 'a', 7),
         )
         self.inbound.update_slots()
 
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -4,6 +4,7 @@
 import random
 
 from papayalock.config import make_settings
+from papayalock.core.exposure import Exposure
 from papayalock.core.placement import Placement
 from papayalock.core.shutdowntimes import ShutdownTimes
 from papayalock.httpclient import ClientConn
@@ -93,6 +94,7 @@
     def __init__(self, names: list[str], **changes) -> None:
         self.host_table = table(route('r', tries=2, **changes))
         self.placement = Placement('a', 'own:1', random.Random(1))
+        self.exposure = Exposure(random.Random(1))
         for name in names:
             self.placement.upsert(endpoint(name), 0)
 
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -8,7 +8,12 @@
 import pytest
 
 from papayalock.dialect import BackendMetadata, Departure
-from papayalock.messages import Announcement, ServerNotice
+from papayalock.messages import (
+    Announcement,
+    Rollout,
+    RolloutRes,
+    ServerNotice,
+)
 from papayalock.node.http import Call
 from papayalock.result import Code, PapayalockError
 
@@ -332,3 +337,42 @@
         headers = [(b'x-instance-id', b'i-1')]
         assert self.CALLS.read_server_name(200, headers) == 'i-1'
         assert self.CALLS.read_server_name(503, headers) == ''
+
+
+class TestRollouts:
+    def test_an_order_is_decoded(self):
+        body = b'{"service":"s1","target_version":"v2","duration":"12s"}'
+        order = FleetOperator().read_rollout(body)
+        assert (order.service, order.target, order.duration_ms) == (
+            's1',
+            'v2',
+            12_000,
+        )
+
+    @pytest.mark.parametrize(
+        'body',
+        [
+            b'',
+            b'{"service":"s1"}',
+            b'{"service":"s1","target_version":"v2","duration":"soon"}',
+            b'{"service":1,"target_version":"v2","duration":"12s"}',
+        ],
+    )
+    def test_a_malformed_order_is_invalid(self, body):
+        with pytest.raises(PapayalockError) as caught:
+            FleetOperator().read_rollout(body)
+        assert FleetOperator().error_status(caught.value.code) == 400
+
+    def test_the_state_is_rendered(self):
+        rollout = Rollout(
+            order=3, target='v2', duration_ms=1, state='completed'
+        )
+        assert json.loads(FleetOperator().render_rollout(rollout)) == {
+            'state': 'completed',
+            'target_version': 'v2',
+        }
+
+    def test_another_order_than_the_one_in_progress_is_no_409(self):
+        adapter = FleetOperator()
+        assert adapter.rollout_status(RolloutRes(Code.DONE)) == 200
+        assert adapter.rollout_status(RolloutRes(Code.CONFLICT)) == 422
--- a/test/test_server.py
+++ b/test/test_server.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from papayalock.control import server
-from papayalock.control.server import error_response, read_body
+from papayalock.control import http
+from papayalock.control.http import error_response, read_body
 from papayalock.result import Code, PapayalockError
 
 
@@ -26,7 +26,7 @@
         assert len(asyncio.run(read_body(FakeRequest(3)))) == 3000
 
     def test_reading_stops_when_a_body_exceeds_the_limit(self, monkeypatch):
-        monkeypatch.setattr(server, 'MAX_BODY_BYTES', 5000)
+        monkeypatch.setattr(http, 'MAX_BODY_BYTES', 5000)
         request = FakeRequest(1_000_000)
         with pytest.raises(PapayalockError) as caught:
             asyncio.run(read_body(request))
