--- a/bench/soak/backend.py
+++ b/bench/soak/backend.py
@@ -20,6 +20,7 @@
 import uvloop
 
 from bench.soak.checks import INNER_CALL_SUFFIX
+from bench.soak.rollouts import OLD_VERSION
 from papayalock.messages import Announcement
 from papayalock.native import (
     CALL_HEADER,
@@ -43,6 +44,7 @@
 LIMIT_PER_S = (0.5, 6.0)
 LIMITS = ServerLimits(65536, 1 << 20, 4096, pipelined=2)
 OK = 200
+INTERNAL_ERROR = 500
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 
@@ -138,6 +140,8 @@
             status = await self._make_inner_call(call)
         mean = MEAN_WORK_S.get(kind, DEFAULT_WORK_S)
         await asyncio.sleep(mean * self._rng.uniform(0.5, 1.5))
+        if self._rng.random() < self._args.failing:
+            return INTERNAL_ERROR
         return status
 
     async def _make_inner_call(self, call: Call) -> int:
@@ -172,6 +176,7 @@
             slots=self._args.slots,
             born_ms=self._born_ms,
             sequence=self._sequence,
+            version=self._args.version,
         )
         try:
             response = await self._http.post(
@@ -216,6 +221,8 @@
     parser.add_argument('--outbound', required=True)
     parser.add_argument('--book', required=True, type=Path)
     parser.add_argument('--renamed', default='')
+    parser.add_argument('--version', default=OLD_VERSION)
+    parser.add_argument('--failing', type=float, default=0.0)
     parser.add_argument('--slots', type=int, default=6)
     parser.add_argument('--seed', type=int, default=1)
     uvloop.install()
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -10,6 +10,10 @@
     check_leaving_servers_get_no_calls,
     check_stated_limits_hold,
 )
+from bench.soak.rolloutchecks import (
+    check_bad_version_is_contained,
+    check_rollout_orders_bind,
+)
 from bench.soak.startchecks import (
     check_harmless_requests_are_not_quarantined,
     check_restarted_servers_get_calls,
@@ -348,9 +352,11 @@
     check_failures_are_logged,
     check_processes_stay_up,
     check_harmless_requests_are_not_quarantined,
+    check_rollout_orders_bind,
 )
 TIMED_CHECKS: tuple[Check, ...] = (
     check_reads_are_fresh,
+    check_bad_version_is_contained,
     check_versions_applied_in_time,
     check_no_version_rollback,
     check_drained_servers_get_no_calls,
--- a/bench/soak/cluster.py
+++ b/bench/soak/cluster.py
@@ -7,6 +7,7 @@
 
 from bench.link import Links
 from bench.mesh import Process, free_port, start_daemon
+from bench.soak import rollouts
 from bench.soak.faults import Fault, FaultKind, ProcessRole, Target, node_name
 from bench.soak.history import Disturbance
 
@@ -62,11 +63,12 @@
         self.unexpected_exits: list[str] = []
         self.control = [f'control-{zone}' for zone in ZONES]
         self._servers = servers
+        new = (rollouts.NEW_SERVER, node_name(rollouts.NEW_SERVER))
         self._down: set[str] = set()
         self._expected_exits: set[str] = set()
         self._listen = {
             name: f'127.0.0.1:{free_port()}'
-            for name in (*self.control, *self.nodes, *servers)
+            for name in (*self.control, *self.nodes, *servers, *new)
         }
         self._advertised = {
             name: self.links.add('', name, address).address
@@ -107,6 +109,16 @@
                 name, service, ZONES[number % len(ZONES)]
             )
 
+    def start_new_version(self, *, bad: bool) -> None:
+        """Starts a server of the new version with its node."""
+        self._start_server_and_node(
+            rollouts.NEW_SERVER,
+            rollouts.SERVICE,
+            ZONES[0],
+            version=rollouts.NEW_VERSION,
+            failing=rollouts.BAD_SHARE if bad else 0.0,
+        )
+
     def stop(self) -> None:
         """Kills every running process and closes the links."""
         self.record_unexpected_exits()
@@ -254,14 +266,24 @@
                 'auto_members': True,
             },
             'claims': {'shards': 0},
+            'rollouts': {'exposure_share': rollouts.EXPOSURE_SHARE},
             **SHARED_SETTINGS,
         }
         self._launch_daemon(name, document)
 
     def _start_server_and_node(
-        self, server: str, service: str, zone: str
+        self,
+        server: str,
+        service: str,
+        zone: str,
+        *,
+        version: str = rollouts.OLD_VERSION,
+        failing: float = 0.0,
     ) -> None:
-        """Starts a backend server and its node."""
+        """Starts a backend server and its node.
+
+        :param failing: share of the calls that the server fails
+        """
         node = node_name(server)
         self.outbound[node] = f'127.0.0.1:{free_port()}'
         announce = f'127.0.0.1:{free_port()}'
@@ -291,6 +313,8 @@
             'outbound': self.outbound[node],
             'book': str(self.folder / 'book.jsonl'),
             'renamed': self._renamed_mark(server),
+            'version': version,
+            'failing': failing,
         }
         arguments = [f'--{key}={text}' for key, text in options.items()]
         command = [sys.executable, '-m', 'bench.soak.backend', *arguments]
@@ -300,7 +324,8 @@
 
     def _renamed_mark(self, server: str) -> str:
         """Returns a text for every second server, which changes its name."""
-        is_odd = list(self._servers).index(server) % 2
+        names = list(self._servers)
+        is_odd = server in names and names.index(server) % 2
         return 'yes' if is_odd else ''
 
     def _launch_daemon(self, name: str, document: dict[str, object]) -> None:
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass, field
 
+from bench.soak.rollouts import RolloutRecord
+
 
 @dataclass(slots=True)
 class CallRecord:
@@ -114,6 +116,7 @@
         default_factory=set
     )  # ids of calls whose failure a node log explains
     ended_alone: list[str] = field(default_factory=list)  # unexpected exits
+    rollout: RolloutRecord | None = None
     last_label: int = 0  # read at the end; 0: no control VM responded
     quiet_from: float = 0.0  # end of the last fault
     ended: float = 0.0
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -13,6 +13,7 @@
 from bench.soak.faults import QUIET_S, Fault, draw_faults, draw_rolling_restarts
 from bench.soak.history import DrainAck, History, Run, StatedLimit
 from bench.soak.operator import Operator
+from bench.soak.rollouts import READY_S, RolloutOperator
 
 DEFAULT_TRAFFIC_S = 45.0
 CALLERS_PER_NODE = 3
@@ -83,6 +84,18 @@
     return SoakResult(find_violations(history, timed=timed), summary)
 
 
+async def _start_new_version(
+    cluster: Cluster, rollout: RolloutOperator
+) -> None:
+    """Starts the server of the new version once the old ones are recorded."""
+    await rollout.versions_recorded.wait()
+    await asyncio.to_thread(
+        cluster.start_new_version, bad=rollout.record.is_bad
+    )
+    await asyncio.sleep(READY_S)
+    rollout.new_server_started.set()
+
+
 async def _run_traffic(
     cluster: Cluster,
     operator: Operator,
@@ -97,14 +110,18 @@
         for number in range(CALLERS_PER_NODE)
     ]
     stop = asyncio.Event()
+    rollout = RolloutOperator(cluster.control_addresses, seed)
     tasks = [asyncio.create_task(caller.run(stop)) for caller in callers]
     tasks.append(asyncio.create_task(operator.run(stop)))
+    tasks.append(asyncio.create_task(rollout.run(stop)))
+    tasks.append(asyncio.create_task(_start_new_version(cluster, rollout)))
     started = time.monotonic()
     await _inject_faults(cluster, faults, started)
     quiet_from = time.monotonic()
     remaining_s = started + seconds - quiet_from
     await asyncio.sleep(max(remaining_s, QUIET_S))
     stop.set()
+    tasks.pop().cancel()
     await asyncio.gather(*tasks)
     history = History(
         control=cluster.control,
@@ -117,6 +134,8 @@
     )
     history.ended = time.monotonic()
     history.last_label = await operator.read_back(READ_BACK_S)
+    await rollout.read_back()
+    history.rollout = rollout.record
     return history
 
 
--- a/models/check.py
+++ b/models/check.py
@@ -46,6 +46,7 @@
     Case(
         'openzone', (), ('NO_VERSION_CHECK', 'ANSWER_BEFORE_ENTRY', 'NO_PROOF')
     ),
+    Case('rollout', (), ('NO_RESEND_CHECK', 'NO_STEP_CHECK')),
     Case('members', (), ('SAME_NAME', 'CHANGE_OUTSIDE_LOG', 'REPLACE_AT_ONCE')),
     Case(
         'accept',
--- a/papayalock/control/rolloutapi.py
+++ b/papayalock/control/rolloutapi.py
@@ -133,8 +133,11 @@
     async def _status(self, request: Request) -> Response:
         service = Query(request).text('service')
         versions = await self._rollouts.newest_versions(service)
-        rollout = versions.rollout if versions else None
-        return json_response(RolloutRes(Code.DONE, service, rollout))
+        if versions is None:
+            return json_response(RolloutRes(Code.DONE, service))
+        res = RolloutRes(Code.DONE, service, versions.rollout)
+        res.accepted = versions.accepted
+        return json_response(res)
 
     async def _evidence(self, request: Request) -> Response:
         for report in await decode_body(request, _EVIDENCE):
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -275,6 +275,9 @@
     service: str = ''
     rollout: Rollout | None = None
     message: str = ''
+    accepted: Annotated[
+        list[str], Meta(description='Versions that get calls in any case.')
+    ] = field(default_factory=list)
 
 
 class RunCounts(Struct):
--- a/papayalock/node/accesslog.py
+++ b/papayalock/node/accesslog.py
@@ -69,6 +69,7 @@
         fields: Fields = {
             'server': self.server.endpoint.server,
             'address': self.server.endpoint.address,
+            'version': self.server.endpoint.version,
             'code': self.code or 'UNFINISHED',
             'reason': self.reason,
             'took_ms': round((end - self.started_at) * MS_PER_S, 1),
--- a/papayalock/ui/rollout.py
+++ b/papayalock/ui/rollout.py
@@ -83,7 +83,9 @@
 def _format(res: dict[str, Any]) -> str:
     rollout = res['rollout']
     if rollout is None:
-        return f'{res["service"]}: {res["message"] or "no roll-out"}'
+        accepted = ', '.join(res['accepted']) or 'unknown'
+        message = res['message'] or 'no roll-out'
+        return f'{res["service"]}: {message}; accepted versions: {accepted}'
     line = (
         f'{res["service"]}: {rollout["target"]} {rollout["state"]}, '
         f'{rollout["share"]:.0%} of the calls after '
--- a/papayalock/ui/trace.py
+++ b/papayalock/ui/trace.py
@@ -91,8 +91,10 @@
 def _format_tries(line: LogLine) -> Iterator[str]:
     """Yields a line for each try that a log line records."""
     for number, record in enumerate(line.fields.get('tries', ()), start=1):
+        version = record.get('version', '')
         yield (
-            f'    try {number}: {record.get("server")} at {record.get("address")}: '
+            f'    try {number}: {record.get("server")} {version} '
+            f'at {record.get("address")}: '
             f'{record.get("code")} {record.get("reason", "")} '
             f'in {record.get("took_ms")} ms; knew of {record.get("jobs_known")} jobs, '
             f'{record.get("load_age_ms")} ms old'
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bench.link import Link
-from bench.soak import checks, startchecks
+from bench.soak import checks, rolloutchecks, startchecks
 from bench.soak.__main__ import kept_seeds
 from bench.soak.callers import DEADLINES_MS, MS_PER_S
 from bench.soak.cluster import PLANNED_KINDS, STOP_GRACE_S
@@ -29,6 +29,7 @@
     Run,
     StatedLimit,
 )
+from bench.soak.rollouts import RolloutRecord
 from papayalock.result import Code
 
 # A stopping node is responsible for calls sent until this long after SIGTERM.
@@ -619,3 +620,47 @@
 
         monkeypatch.setattr(asyncio, 'open_connection', never_connects)
         assert not asyncio.run(play())
+
+
+class TestRolloutChecks:
+    """The order was sent at 100 s; 200 calls of the service ran after it."""
+
+    def violations(self, check, *new_runs: float, **changes) -> list[str]:
+        fields = {'is_bad': True, 'ordered': 100.0, 'acked': 100.1}
+        record = RolloutRecord(**{**fields, 'final_target': 'v2', **changes})
+        runs = [
+            Run(f'c{at}', '/look/1', 'desk-1@1', 'desk', 100 + at / 20)
+            for at in range(200)
+        ]
+        runs += [
+            Run(f'n{at}', '/look/1', 'desk-9@1', 'desk', at) for at in new_runs
+        ]
+        history = History([], runs=runs, rollout=record, last_label=5)
+        return list(check(history))
+
+    def test_a_call_before_the_order_is_found(self):
+        check = rolloutchecks.check_rollout_orders_bind
+        assert not self.violations(check, 101.0)
+        assert 'unordered' in self.violations(check, 99.0)[0]
+
+    def test_a_lost_order_is_found(self):
+        check = rolloutchecks.check_rollout_orders_bind
+        assert 'lost' in self.violations(check, final_target='')[0]
+        assert not self.violations(check, final_target='', acked=None)
+
+    def test_a_roll_out_that_runs_again_is_found(self):
+        readings = ['running', 'rolled_back', 'running']
+        check = rolloutchecks.check_rollout_orders_bind
+        assert 'again' in self.violations(check, readings=readings)[0]
+
+    def test_too_many_calls_to_a_bad_version_are_found(self):
+        check = rolloutchecks.check_bad_version_is_contained
+        assert not self.violations(check, *[101.0] * 70)
+        assert 'got 80' in self.violations(check, *[101.0] * 80)[0]
+        assert not self.violations(check, *[101.0] * 80, is_bad=False)
+
+    def test_calls_after_the_roll_back_are_found(self):
+        check = rolloutchecks.check_bad_version_is_contained
+        changes = {'ended': 103.0, 'state': 'rolled_back'}
+        assert not self.violations(check, 105.0, **changes)
+        assert 'after' in self.violations(check, 107.0, **changes)[0]
