API keys: removed ones stop queued calls too, and nodes may fail closed

A call that waited at a server's node ran with a key that had been taken away meanwhile, and a node out of touch admitted keys for as long as it was.

Cause: the key was looked at only where the call came in, and nothing knew how old the node's keys were.

Evidence: tests of removed keys (one of a call that queues), of fail closed, of log lines at DEBUG without a key; they fail before (no such code).

--- a/papayalock/core/customers.py
+++ b/papayalock/core/customers.py
@@ -11,6 +11,10 @@
 
 DIGEST_BYTES = 16
 PERSON = b'papayalock-key'
+MAX_REMOVED = 4096  # digests of removed keys that are remembered
+MS_PER_S = 1000
+# A control VM answers a poll with what it held some time before.
+TRUST_SHARE = 0.6  # of the time in which a removal has to reach all nodes
 
 
 def key_digest(key: str, secret: bytes) -> str:
@@ -29,18 +33,21 @@
 class CustomerTable:
     """The customers of the configuration in force, by name and by key."""
 
-    __slots__ = ('_by_digest', 'customers')
+    __slots__ = ('_by_digest', '_removed', 'customers')
 
     def __init__(self) -> None:
         """Starts without customers."""
         self.customers: dict[str, Customer] = {}
         self._by_digest: dict[str, Customer] = {}
+        self._removed: dict[str, None] = {}  # digests, oldest first
 
     def add(self, customer: Customer) -> None:
         """Adds a customer, which replaces one with the same name."""
         self.remove(customer.name)
         self.customers[customer.name] = customer
-        self._by_digest.update(dict.fromkeys(customer.keys, customer))
+        for digest in customer.keys:
+            self._by_digest[digest] = customer
+            self._removed.pop(digest, None)
 
     def remove(self, name: str) -> None:
         """Removes a customer, if it is known."""
@@ -48,6 +55,7 @@
         for digest in former.keys if former else ():
             if self._by_digest.get(digest) is former:
                 del self._by_digest[digest]
+                self._record_removed(digest)
 
     def find(self, digest: str) -> Customer | None:
         """Returns the customer that holds an API key, or None.
@@ -61,3 +69,50 @@
             hmac.compare_digest(digest, known) for known in customer.keys
         )
         return customer if held else None
+
+    def is_removed(self, digest: str) -> bool:
+        """Whether a key was known here and has been taken away.
+
+        :param digest: digest of the key
+        """
+        return digest in self._removed
+
+    def adopt_removed(self, former: 'CustomerTable') -> None:
+        """Keeps what a table that this one replaces knows of removed keys."""
+        for digest in (*former._removed, *former._by_digest):
+            if digest not in self._by_digest:
+                self._record_removed(digest)
+
+    def _record_removed(self, digest: str) -> None:
+        self._removed[digest] = None
+        if len(self._removed) > MAX_REMOVED:
+            self._removed.pop(next(iter(self._removed)))
+
+
+class KeyCheck:
+    """Decides whether a node may trust the keys that it knows.
+
+    Whatever it holds when it is out of touch, a key may have been taken away
+    since.
+    """
+
+    __slots__ = ('_fail_closed', '_trust_s', '_trusted_until')
+
+    def __init__(self, *, fail_closed: bool, revoke_ms: int) -> None:
+        """Starts without trust.
+
+        :param fail_closed: whether trust ends at all
+        :param revoke_ms: time from the removal of a key until no node may
+            admit it
+        """
+        self._fail_closed = fail_closed
+        self._trust_s = revoke_ms * TRUST_SHARE / MS_PER_S
+        self._trusted_until = float('-inf')
+
+    def record_contact(self, now: float) -> None:
+        """Records the answer of a control VM under lease."""
+        self._trusted_until = now + self._trust_s
+
+    def is_outdated(self, now: float) -> bool:
+        """Whether calls that need a key have to be refused."""
+        return self._fail_closed and now >= self._trusted_until
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -529,6 +529,13 @@
             description='Customer that made the call; empty for none.', max_length=128
         ),
     ] = ''
+    key: Annotated[
+        str,
+        Meta(
+            description="Digest of the customer's API key; empty for none.",
+            max_length=64,
+        ),
+    ] = ''
     returning: Annotated[
         bool,
         Meta(
--- a/papayalock/node/accesslog.py
+++ b/papayalock/node/accesslog.py
@@ -108,6 +108,7 @@
     returning: bool
     request: str  # digest of its content
     customer: Customer | None = None
+    key: str = ''  # digest of the API key
     tries: list[TryRecord] = field(default_factory=list)
 
     @property
--- a/papayalock/node/hostagent.py
+++ b/papayalock/node/hostagent.py
@@ -78,6 +78,7 @@
         self.host_table = HostRouteTable([])
         self.exposure = Exposure(rng)
         self.read_evidence: Callable[[], ServerEvidence | None] | None = None
+        self.on_leased_contact: list[Callable[[float], None]] = []
         self.stopping = False
         self.backend_monitor = backend_monitor
         self.placement = placement
@@ -95,6 +96,10 @@
         self._state_revision += 1
         super().wake()
 
+    def is_key_removed(self, digest: str) -> bool:
+        """Whether an API key was known here and has been taken away."""
+        return self.host_table.customers.is_removed(digest)
+
     def backend_changed(self) -> None:
         """Notifies the node's parts and a control VM of a server change."""
         self._notify_listeners()
@@ -142,6 +147,8 @@
         )
         if res.leased:
             self.exposure.renew_grant(now)
+            for listener in self.on_leased_contact:
+                listener(now)
         else:
             self._control_selector.record_failure(self._polled_address, now)
         self._reported_revision = max(
@@ -165,7 +172,9 @@
         if delta.base:
             self.host_table.update(delta.parts, delta.removed)
         else:
+            former = self.host_table
             self.host_table = HostRouteTable(delta.parts)
+            self.host_table.customers.adopt_removed(former.customers)
         self.exposure.services = self.host_table.versions
 
     def _apply_endpoints(self, delta: EndpointDelta) -> None:
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -95,6 +95,7 @@
             ),
         )
         self.agent.read_evidence = self.inbound.run_stats.report
+        self.inbound.is_key_removed = self.agent.is_key_removed
         self.outbound = OutboundProxy(
             settings,
             self.agent,
@@ -162,6 +163,9 @@
             hosts,
         )
         self.agent.on_changed.append(self._apply_changes)
+        self.agent.on_leased_contact.append(
+            self.outbound.key_check.record_contact
+        )
         self.inbound.notices.on_leaving.append(self.agent.backend_changed)
 
     @property
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -105,6 +105,7 @@
         self._alive_ms = alive_ms
         self._lag = lag
         self.callee_failures = 0
+        self.is_key_removed = _never_removed
         self._running: set[asyncio.Task[Outcome]] = set()
         self._conns: dict[ClientConn, ServerStart] = {}  # that carry a call
         self._start: ServerStart | None = None
@@ -245,6 +246,8 @@
         """Returns the local server, or why the order cannot run on it."""
         if self._crash_reports.is_quarantined(order.request):
             return self._crash_reports.refusal(order.request)
+        if self.is_key_removed(order.key):
+            return NoResponse(Code.UNKNOWN_API_KEY, 'the API key was removed')
         serving = self._monitor.serving(now)
         if serving is None:
             draining = self._monitor.is_closed(now)
@@ -443,3 +446,8 @@
             self._gate.record_outcome(failed=own_fault)
         else:
             self._gate.record_outcome(failed=True)
+
+
+def _never_removed(digest: str) -> bool:
+    """Is the check of API keys of a gate without customers."""
+    return False
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -2,7 +2,7 @@
 
 from papayalock.core.budget import SharedBudget
 from papayalock.core.crashes import request_digest
-from papayalock.core.customers import key_digest
+from papayalock.core.customers import KeyCheck, key_digest
 from papayalock.core.hedging import (
     FREE_SLOT_SEARCH_SHARE,
     CallProgress,
@@ -62,6 +62,10 @@
         self.try_runner = TryRunner(
             settings, agent.placement, inbound, pool, clock, crash_reports
         )
+        self.key_check = KeyCheck(
+            fail_closed=settings.customers.fail_closed,
+            revoke_ms=settings.customers.revoke_ms,
+        )
         self._digest_key = settings.hosts.digest_key.encode()
         self._dialect = dialect
         self._clock = clock
@@ -119,8 +123,9 @@
         if self._agent.host_table.customers.customers:
             routed.call = self._without_api_key(call)
             routed.customer = self._find_customer(routed)
-            if routed.customer is None and not route.public:
-                return NoResponse(Code.UNKNOWN_API_KEY, 'unknown API key')
+            refusal = None if route.public else self._check_key(routed)
+            if refusal is not None:
+                return refusal
         if self._shutdown_times.refuses_local(
             routed.deadline_at, routed.arrived_at
         ):
@@ -129,8 +134,18 @@
 
     def _find_customer(self, routed: RoutedCall) -> Customer | None:
         """Returns the customer whose API key a call has, or None."""
-        digest = key_digest(routed.metadata.api_key, self._digest_key)
-        return self._agent.host_table.customers.find(digest)
+        routed.key = key_digest(routed.metadata.api_key, self._digest_key)
+        return self._agent.host_table.customers.find(routed.key)
+
+    def _check_key(self, routed: RoutedCall) -> NoResponse | None:
+        """Returns why a call that needs an API key is refused, if it is."""
+        if self.key_check.is_outdated(routed.arrived_at):
+            return NoResponse(
+                Code.KEYS_OUTDATED, 'out of touch', NO_ROUTES_RETRY_AFTER_MS
+            )
+        if routed.customer is None:
+            return NoResponse(Code.UNKNOWN_API_KEY, 'unknown API key')
+        return None
 
     def _without_api_key(self, call: Call) -> Call:
         """Returns a call whose API key does not leave this node."""
--- a/papayalock/node/tryrunner.py
+++ b/papayalock/node/tryrunner.py
@@ -153,6 +153,7 @@
             target_ms=int((routed.target_at - now) * MS_PER_S),
             caller=self.own_service,
             customer=routed.customer.name if routed.customer else '',
+            key=routed.key if routed.customer else '',
             returning=routed.returning,
             may_wait=may_wait,
             request=routed.request,
--- a/papayalock/result.py
+++ b/papayalock/result.py
@@ -25,6 +25,7 @@
     OTHER_SERVER = 114
     QUARANTINED = 115
     UNKNOWN_API_KEY = 116
+    KEYS_OUTDATED = 117
     # Calls: the request may have run.
     UNKNOWN_TIMEOUT = 200
     UNKNOWN_BROKEN = 201
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -174,7 +174,7 @@
     digest_key: Annotated[
         str,
         Meta(
-            description='Secret with which nodes digest requests; the same on all nodes.',
+            description='Secret of the digests of requests and API keys; the same on all nodes and control VMs.',
             max_length=64,
         ),
     ]
@@ -222,6 +222,27 @@
     ]
 
 
+class CustomerSettings(Struct):
+    """
+    Customers and their API keys.
+    """
+
+    fail_closed: Annotated[
+        bool,
+        Meta(
+            description='Whether a node out of touch refuses calls that need an API key.'
+        ),
+    ]
+    revoke_ms: Annotated[
+        int,
+        Meta(
+            description='Time from the removal of a key until no node may admit it.',
+            ge=100,
+            le=600000,
+        ),
+    ]
+
+
 class MetricsSettings(Struct):
     """
     Metrics endpoint.
@@ -262,4 +283,5 @@
     log: LogSettings
     hosts: HostSettings
     rollouts: RolloutSettings
+    customers: CustomerSettings
     metrics: MetricsSettings
--- a/test/test_customers.py
+++ b/test/test_customers.py
@@ -1,10 +1,16 @@
 """Customers: their API keys from publication to the backend server."""
 
 import asyncio
+import logging
 
 import pytest
 
-from papayalock.core.customers import CustomerTable, key_digest
+from papayalock.core.customers import (
+    MAX_REMOVED,
+    CustomerTable,
+    KeyCheck,
+    key_digest,
+)
 from papayalock.core.hostroutes import HostRouteTable
 from papayalock.core.ledger import Ledger
 from papayalock.core.revision import apply_revision, make_revision
@@ -24,6 +30,7 @@
 from papayalock.node.http import Call
 from papayalock.node.outcome import NoResponse, ServerResponse
 from papayalock.result import Code
+from test.test_inbound import OK, Side
 from test.test_outbound import GOOD, Caller, FarNodes
 from test.test_routesets import route, route_set
 from test.wires import FastLoop
@@ -132,8 +139,79 @@
         assert restored.route_sets.current.customers == routes.customers
 
 
+class TestRemovedKeys:
+    def test_only_a_key_that_was_known_counts_as_removed(self):
+        table = CustomerTable()
+        table.add(Customer('c1', [DIGEST, 'd2']))
+        table.add(Customer('c1', ['d2']))
+        assert table.is_removed(DIGEST)
+        assert not table.is_removed('d2')
+        assert not table.is_removed('new')
+
+    def test_a_key_that_is_added_again_is_not_removed(self):
+        table = CustomerTable()
+        table.add(Customer('c1', [DIGEST]))
+        table.remove('c1')
+        table.add(Customer('c2', [DIGEST]))
+        assert not table.is_removed(DIGEST)
+
+    def test_a_full_configuration_does_not_make_a_node_forget(self):
+        former = CustomerTable()
+        former.add(Customer('c1', [DIGEST, 'd2', 'd3']))
+        former.add(Customer('c1', [DIGEST, 'd2']))
+        table = CustomerTable()
+        table.add(Customer('c1', ['d2']))
+        table.adopt_removed(former)
+        assert table.is_removed(DIGEST)
+        assert table.is_removed('d3')
+        assert not table.is_removed('d2')
+
+    def test_what_is_remembered_is_bounded(self):
+        table = CustomerTable()
+        for number in range(MAX_REMOVED + 1):
+            table.add(Customer('c1', [f'd{number}']))
+        table.remove('c1')
+        assert not table.is_removed('d0')
+        assert table.is_removed(f'd{MAX_REMOVED}')
+
+    def test_a_queued_call_does_not_outlive_its_key(self):
+        """The key is removed while the call waits for a slot."""
+
+        async def play():
+            side = Side(OK, OK)
+            removed = set()
+            side.inbound.is_key_removed = removed.__contains__
+            side.gate.slots = 1
+            first = asyncio.create_task(side.run(key='kept'))
+            await asyncio.sleep(0)
+            waiting = asyncio.create_task(side.run(key='gone'))
+            await asyncio.sleep(0)
+            assert side.gate.jobs == 2
+            removed.add('gone')
+            return await asyncio.gather(first, waiting)
+
+        served, refused = asyncio.run(play())
+        assert isinstance(served, ServerResponse)
+        assert isinstance(refused, NoResponse)
+        assert refused.code == Code.UNKNOWN_API_KEY
+        assert not refused.arrived
+
+
+class TestKeyCheck:
+    def test_keys_are_trusted_without_contact_unless_it_fails_closed(self):
+        check = KeyCheck(fail_closed=False, revoke_ms=5000)
+        assert not check.is_outdated(1e9)
+
+    def test_a_node_out_of_touch_refuses_before_a_removal_is_due(self):
+        check = KeyCheck(fail_closed=True, revoke_ms=5000)
+        assert check.is_outdated(0)
+        check.record_contact(10)
+        assert not check.is_outdated(12.9)
+        assert check.is_outdated(13.1)
+
+
 class TestCallers:
-    def call(self, path: bytes, headers=()):
+    def call(self, path: bytes, headers=(), **settings):
         """Makes one call at a node with one customer, ``c1``."""
         nodes = FarNodes([(0.01, GOOD)])
         call = Call(b'GET', path, [(b'host', b'a.example'), *headers])
@@ -143,6 +221,8 @@
         async def run():
             caller = Caller(nodes)
             caller.agent.host_table = HostRouteTable(store.parts())
+            if settings:
+                caller.outbound.key_check = KeyCheck(**settings)
             return await caller.outbound._run(call)
 
         with asyncio.Runner(loop_factory=FastLoop) as runner:
@@ -169,6 +249,24 @@
         outcome, _ = self.call(b'/open/x')
         assert isinstance(outcome, ServerResponse)
 
+    def test_out_of_touch_only_calls_that_need_a_key_are_refused(self):
+        closed = {'fail_closed': True, 'revoke_ms': 5000}
+        key = [(API_KEY_HEADER, KEY.encode())]
+        outcome, nodes = self.call(b'/r/x', key, **closed)
+        assert outcome.code == Code.KEYS_OUTDATED
+        assert outcome.retry_after_ms
+        assert not nodes.conns
+        outcome, _ = self.call(b'/open/x', key, **closed)
+        assert isinstance(outcome, ServerResponse)
+
+    @pytest.mark.parametrize('key', [KEY, 'wrong-secret'])
+    def test_no_log_line_has_a_key(self, caplog, key):
+        caplog.set_level(logging.DEBUG)
+        self.call(b'/r/x', [(API_KEY_HEADER, key.encode())])
+        lines = [str(record.__dict__) for record in caplog.records]
+        assert lines
+        assert not any(key in line for line in lines)
+
     def test_the_customer_of_the_node_replaces_that_of_the_caller(self):
         headers = NativeCalls().backend_headers(
             [(CUSTOMER_HEADER, b'forged'), (API_KEY_HEADER, KEY.encode())],
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -76,6 +76,21 @@
         path.write_text(render(template, {**VALUES, **overrides}))
         assert load_settings(path).rollouts.exposure_share == (share or 0)
 
+    @pytest.mark.parametrize('closed', [False, True])
+    def test_a_node_out_of_touch_does_what_the_deployment_says(
+        self, tmp_path, closed
+    ):
+        template = (DEPLOY / 'node.toml.in').read_text()
+        path = tmp_path / 'node.toml'
+        overrides = {
+            'bounds.revoke': '3000ms',
+            'bounds.revoke|json': '"3000ms"',
+            'bounds.fail_closed|json': str(closed).lower(),
+        }
+        path.write_text(render(template, {**VALUES, **overrides}))
+        customers = load_settings(path).customers
+        assert (customers.fail_closed, customers.revoke_ms) == (closed, 3000)
+
     def test_the_retry_budget_is_taken_from_the_deployment(self, tmp_path):
         template = (DEPLOY / 'node.toml.in').read_text()
         path = tmp_path / 'node.toml'
