Soak: customers with keys, wrong keys and a forged customer

The soak sent no API keys, so nothing outside the nodes checked whom a call ran for.

Checked: a call runs for the customer whose key it has, none runs with a wrong key, no known key is refused, and no key stands in a log of any process.

--- a/bench/soak/backend.py
+++ b/bench/soak/backend.py
@@ -19,11 +19,12 @@
 import msgspec
 import uvloop
 
-from bench.soak.checks import INNER_CALL_SUFFIX
+from bench.soak.history import INNER_CALL_SUFFIX
 from bench.soak.rollouts import OLD_VERSION
 from papayalock.messages import Announcement
 from papayalock.native import (
     CALL_HEADER,
+    CUSTOMER_HEADER,
     LEAVING_HEADER,
     LIMIT_HEADER,
     REMAINING_HEADER,
@@ -129,6 +130,7 @@
             path=path,
             server=self._incarnation,
             service=self._args.service,
+            customer=call.header(CUSTOMER_HEADER).decode(),
             number=self._runs,
         )
         return self._runs
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -6,9 +6,17 @@
 
 import httpx
 
+from bench.soak.customers import (
+    FORGED_CUSTOMER,
+    KEYS,
+    WRONG_KEY,
+    WRONG_SHARE,
+)
 from bench.soak.history import CallRecord
 from papayalock.native import (
+    API_KEY_HEADER,
     CALL_HEADER,
+    CUSTOMER_HEADER,
     LEAVING_HEADER,
     LIMIT_HEADER,
     REMAINING_HEADER,
@@ -44,6 +52,8 @@
         self._url = f'http://{address}'
         self._rng = random.Random(f'{seed} {name}')
         self._labels = labels
+        self._rng_key = random.Random(f'{seed} {name} key')
+        self._customer = self._rng_key.choice(sorted(KEYS))
 
     async def run(self, stop: asyncio.Event) -> None:
         """Sends calls until stopped."""
@@ -72,6 +82,9 @@
             path=path,
             node=self._node,
             repeatable=kind != 'pay',
+            customer=''
+            if self._rng_key.random() < WRONG_SHARE
+            else self._customer,
             sent=now,
             deadline=now + DEADLINES_MS[kind] / MS_PER_S,
         )
@@ -84,6 +97,8 @@
         headers = {
             'host': HOST,
             CALL_HEADER.decode(): record.call,
+            API_KEY_HEADER.decode(): KEYS.get(record.customer, WRONG_KEY),
+            CUSTOMER_HEADER.decode(): FORGED_CUSTOMER,
             REMAINING_HEADER.decode(): str(int(remaining_s * MS_PER_S)),
         }
         method = 'GET' if record.repeatable else 'POST'
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -4,8 +4,19 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 
+from bench.soak.customers import (
+    check_customers_are_identified,
+    check_keys_stay_secret,
+    check_known_keys_are_admitted,
+)
 from bench.soak.faults import node_name
-from bench.soak.history import CallRecord, History, Publication, Run
+from bench.soak.history import (
+    INNER_CALL_SUFFIX,
+    CallRecord,
+    History,
+    Publication,
+    Run,
+)
 from bench.soak.noticechecks import (
     check_leaving_servers_get_no_calls,
     check_stated_limits_hold,
@@ -39,7 +50,6 @@
 MIN_FAILURE_STATUS = 400
 MAX_LOG_DELAY_S = 0.5  # longest time that a log line stays buffered
 MARK_PREFIX = '/mark/'
-INNER_CALL_SUFFIX = '.inner'
 SERVICE_BY_PREFIX = {
     '/look/': 'desk',
     '/pay/': 'desk',
@@ -353,6 +363,9 @@
     check_processes_stay_up,
     check_harmless_requests_are_not_quarantined,
     check_rollout_orders_bind,
+    check_customers_are_identified,
+    check_known_keys_are_admitted,
+    check_keys_stay_secret,
 )
 TIMED_CHECKS: tuple[Check, ...] = (
     check_reads_are_fresh,
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -8,6 +8,8 @@
 
 from bench.soak.rollouts import RolloutRecord
 
+INNER_CALL_SUFFIX = '.inner'  # of the id of a call that a server makes
+
 
 @dataclass(slots=True)
 class CallRecord:
@@ -19,6 +21,7 @@
     repeatable: bool
     sent: float
     deadline: float
+    customer: str = ''  # that holds the key of the call; '' for a wrong key
     ended: float = 0.0
     status: int = 0  # 0: no response
     code: int = -1  # result code of the node; -1: none
@@ -42,6 +45,7 @@
     server: str
     service: str
     at: float
+    customer: str = ''  # that the server was told
     number: int = 0  # counts the runs of one incarnation of the server
     ended: float | None = None  # None: not recorded, as after a kill
     whole: bool = False  # whether it completed and was not cancelled
@@ -116,6 +120,7 @@
         default_factory=set
     )  # ids of calls whose failure a node log explains
     ended_alone: list[str] = field(default_factory=list)  # unexpected exits
+    leaking_logs: list[str] = field(default_factory=list)  # with an API key
     rollout: RolloutRecord | None = None
     last_label: int = 0  # read at the end; 0: no control VM responded
     quiet_from: float = 0.0  # end of the last fault
--- a/bench/soak/operator.py
+++ b/bench/soak/operator.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from bench.soak.callers import DEADLINES_MS, HOST
+from bench.soak.customers import make_customers
 from bench.soak.history import Publication, RouteRead
 from papayalock.messages import HostRoute, RouteSet, ServicePolicy, Share
 from papayalock.native import NativeOperator
@@ -55,7 +56,13 @@
         ServicePolicy(service=name, health_path='/health', connections=64)
         for name in ('desk', 'ledger')
     ]
-    return RouteSet(label=label, base=base, routes=routes, services=services)
+    return RouteSet(
+        label=label,
+        base=base,
+        routes=routes,
+        services=services,
+        customers=make_customers(),
+    )
 
 
 def _make_route(
@@ -66,6 +73,7 @@
         host=HOST,
         prefix=prefix,
         repeatable=name != 'pay',
+        public=name == 'status',
         timeout_ms=DEADLINES_MS.get(name, 1000),
         target_ms=500,
         rank=rank,
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -10,6 +10,7 @@
 from bench.soak.callers import Caller
 from bench.soak.checks import find_violations
 from bench.soak.cluster import Cluster
+from bench.soak.customers import find_leaks
 from bench.soak.faults import QUIET_S, Fault, draw_faults, draw_rolling_restarts
 from bench.soak.history import DrainAck, History, Run, StatedLimit
 from bench.soak.operator import Operator
@@ -72,6 +73,7 @@
     _read_backend_records(folder / 'book.jsonl', history)
     for node in cluster.nodes:
         _read_node_log(folder / f'{node}.log', history)
+    history.leaking_logs = find_leaks(folder)
     _write_records(folder, faults, history)
     served = sum(record.served for record in history.attempts)
     accepted = sum(
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bench.link import Link
-from bench.soak import checks, rolloutchecks, startchecks
+from bench.soak import checks, customers, rolloutchecks, startchecks
 from bench.soak.__main__ import kept_seeds
 from bench.soak.callers import DEADLINES_MS, MS_PER_S
 from bench.soak.cluster import PLANNED_KINDS, STOP_GRACE_S
@@ -46,6 +46,7 @@
     plain = {
         'node': 'node-a',
         'repeatable': not path.startswith('/pay'),
+        'customer': 'field',
         'sent': 100.0,
         'deadline': 101.0,
         'ended': 100.1,
@@ -65,6 +66,7 @@
         server,
         service or checks.SERVICE_BY_PREFIX[prefix],
         at,
+        customer=record.customer,
         ended=at + 0.02 if ended is None else ended,
         whole=whole,
     )
@@ -664,3 +666,36 @@
         changes = {'ended': 103.0, 'state': 'rolled_back'}
         assert not self.violations(check, 105.0, **changes)
         assert 'after' in self.violations(check, 107.0, **changes)[0]
+
+
+class TestCustomerChecks:
+    def violations(self, check, ran_for: str, **changes) -> list[str]:
+        record = call_record(**changes)
+        run = run_of(record)
+        run.customer = ran_for
+        return list(check(History([], attempts=[record], runs=[run])))
+
+    def test_a_call_that_runs_for_another_customer_is_found(self):
+        check = customers.check_customers_are_identified
+        assert not self.violations(check, 'field')
+        assert 'office' in self.violations(check, 'office')[0]
+        assert self.violations(check, '')
+
+    def test_a_call_that_runs_with_a_wrong_key_is_found(self):
+        check = customers.check_customers_are_identified
+        assert 'wrong key' in self.violations(check, '', customer='')[0]
+
+    def test_a_known_key_that_is_refused_is_found(self):
+        check = customers.check_known_keys_are_admitted
+        refused = {'code': int(Code.UNKNOWN_API_KEY), 'status': 401}
+        assert self.violations(check, 'field', **refused)
+        assert not self.violations(check, '', customer='', **refused)
+
+    def test_a_key_in_a_log_is_found(self, tmp_path):
+        (tmp_path / 'node-a.log').write_text('key soak-key-of-field')
+        (tmp_path / 'node-b.log').write_text('nothing')
+        leaking = customers.find_leaks(tmp_path)
+        check = customers.check_keys_stay_secret
+        assert list(check(History([], leaking_logs=leaking))) == [
+            'customer: an API key stands in node-a.log'
+        ]
