Complete an order for the accepted version at once

An order sent again long after its roll-out had completed would have started another one, from a version to itself. It is acknowledged as completed now; the test fails before (state running).

--- a/papayalock/core/rollouts.py
+++ b/papayalock/core/rollouts.py
@@ -80,6 +80,9 @@
             duration_ms=command.duration_ms,
             ordered_at_ms=command.at_ms,
         )
+        if versions.accepted == [command.target]:
+            started.state = COMPLETED
+            started.reason = 'the version is accepted already'
         self._store(versions, started)
         return RolloutRes(Code.DONE, command.service, started), True
 
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -102,6 +102,14 @@
             9,
         )
 
+    def test_an_order_for_the_accepted_version_is_complete_at_once(self):
+        """As when an operator sends an order again long after its end."""
+        ledger = ledger_with(order(), step(1, state=COMPLETED, proven=True))
+        res = ledger.apply(9, order(at_ms=1000 + RESEND_MS))
+        assert res.code == Code.DONE
+        assert rollout_of(ledger).state == COMPLETED
+        assert ledger.rollouts.services[SERVICE].accepted == ['v2']
+
     def test_another_target_is_refused_while_one_runs(self):
         ledger = ledger_with(order())
         res = ledger.apply(9, order('v3'))
