--- a/papayalock/control/rolloutmanager.py
+++ b/papayalock/control/rolloutmanager.py
@@ -14,7 +14,7 @@
     next_step,
     stage_shares,
 )
-from papayalock.core.rollouts import ROLLED_BACK, RUNNING, RolloutBook
+from papayalock.core.rollouts import ROLLED_BACK, RolloutBook, running_rollout
 from papayalock.core.verdict import Trial
 from papayalock.messages import (
     AcceptVersions,
@@ -55,6 +55,13 @@
         """Returns the time since the order."""
         return self.seen_elapsed_ms + int((now - self.seen_at) * MS_PER_S)
 
+    def start_stage(self, step: int, now: float) -> None:
+        """Asks for new evidence, since the share has changed."""
+        self.step = step
+        self.stepped_at = now
+        self.stage_calls = 0
+        self.trial.start_stage()
+
 
 class RolloutManager:
     """Runs on every control VM.
@@ -135,9 +142,8 @@
 
         :raises PapayalockError: ``UNKNOWN_VERSION`` if there is none
         """
-        versions = await self.newest_versions(service)
-        rollout = versions.rollout if versions else None
-        if rollout is None or rollout.state != RUNNING:
+        rollout = running_rollout(await self.newest_versions(service))
+        if rollout is None:
             raise PapayalockError(
                 Code.UNKNOWN_VERSION, f'no roll-out of {service} runs'
             )
@@ -149,29 +155,17 @@
     def _follow_rollouts(self) -> None:
         """Opens and closes trials to match the applied log."""
         now = self._clock.monotonic()
-        services = self._book.services
-        for service, versions in services.items():
-            rollout = versions.rollout
-            if rollout is None or rollout.state != RUNNING:
+        for service, versions in self._book.services.items():
+            rollout = running_rollout(versions)
+            if rollout is None:
                 self._trials.pop(service, None)
                 continue
             running = self._trials.get(service)
             if running is None or running.order != rollout.order:
-                running = OpenTrial(
-                    order=rollout.order,
-                    seen_at=now,
-                    seen_elapsed_ms=rollout.elapsed_ms,
-                    step=rollout.step,
-                    stepped_at=now,
-                    trial=Trial(rollout.target),
-                    table=EvidenceTable(),
-                )
+                running = _open_trial(rollout, now)
                 self._trials[service] = running
             if running.step != rollout.step:
-                running.step = rollout.step
-                running.stepped_at = now
-                running.stage_calls = 0
-                running.trial.start_stage()
+                running.start_stage(rollout.step, now)
 
     async def _lead(self) -> None:
         """Commits what is due, as leader."""
@@ -189,8 +183,8 @@
     async def _take_step(
         self, versions: ServiceVersions, running: OpenTrial
     ) -> None:
-        rollout = versions.rollout
-        if rollout is None or rollout.state != RUNNING:
+        rollout = running_rollout(versions)
+        if rollout is None:
             return
         now = self._clock.monotonic()
         observed = self._observe(versions, rollout, running, now)
@@ -289,6 +283,18 @@
             )
 
 
+def _open_trial(rollout: Rollout, now: float) -> OpenTrial:
+    return OpenTrial(
+        order=rollout.order,
+        seen_at=now,
+        seen_elapsed_ms=rollout.elapsed_ms,
+        step=rollout.step,
+        stepped_at=now,
+        trial=Trial(rollout.target),
+        table=EvidenceTable(),
+    )
+
+
 def _command(
     service: str, rollout: Rollout, step: NextStep, elapsed_ms: int
 ) -> StepRollout:
--- a/papayalock/core/exposure.py
+++ b/papayalock/core/exposure.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from papayalock.core.directory import KnownServer
-from papayalock.core.rollouts import RUNNING
+from papayalock.core.rollouts import running_rollout
 from papayalock.messages import Rollout, ServiceVersions
 from papayalock.ports import Random
 
@@ -78,10 +78,8 @@
         versions = self.services.get(service)
         if versions is None:
             return None
-        rollout = versions.rollout
-        if rollout is None or rollout.state != RUNNING or not rollout.share:
-            return self._accepted(versions)
-        if not rollout.proven and now >= self.granted_until:
+        rollout = running_rollout(versions)
+        if rollout is None or not self._may_expose(rollout, now):
             return self._accepted(versions)
         if not self._takes_turn(service, rollout.order, rollout.share):
             return self._accepted(versions)
@@ -92,8 +90,8 @@
         versions = self.services.get(service)
         if versions is None:
             return None
-        rollout = versions.rollout
-        if rollout is None or rollout.state != RUNNING or not rollout.proven:
+        rollout = running_rollout(versions)
+        if rollout is None or not rollout.proven:
             return self._accepted(versions)
         return self._target(versions, rollout)
 
@@ -102,21 +100,19 @@
         versions = self.services.get(service)
         if versions is None or version in versions.accepted:
             return True
-        rollout = versions.rollout
-        return (
-            rollout is not None
-            and rollout.state == RUNNING
-            and rollout.share > 0
-            and version == rollout.target
-        )
+        rollout = running_rollout(versions)
+        if rollout is None:
+            return False
+        return rollout.share > 0 and version == rollout.target
 
     def running_order(self, service: str) -> int:
         """Returns the order of a roll-out that runs, or 0."""
-        versions = self.services.get(service)
-        rollout = versions.rollout if versions else None
-        if rollout is None or rollout.state != RUNNING:
-            return 0
-        return rollout.order
+        rollout = running_rollout(self.services.get(service))
+        return rollout.order if rollout else 0
+
+    def _may_expose(self, rollout: Rollout, now: float) -> bool:
+        """Whether the node may use the share of the new version."""
+        return rollout.proven or now < self.granted_until
 
     def _accepted(self, versions: ServiceVersions) -> Cohort:
         return Cohort(frozenset(versions.accepted))
--- a/papayalock/core/rollouts.py
+++ b/papayalock/core/rollouts.py
@@ -27,6 +27,13 @@
 RESEND_MS = 10_000  # time in which an order that has ended is not a new one
 
 
+def running_rollout(versions: ServiceVersions | None) -> Rollout | None:
+    """Returns the roll-out of a service that runs, or None."""
+    if versions is None or versions.rollout is None:
+        return None
+    return versions.rollout if versions.rollout.state == RUNNING else None
+
+
 class RolloutBook:
     """The versions of each service, as committed commands have set them."""
 
@@ -71,7 +78,7 @@
         current = versions.rollout
         if current is not None and _is_resent(command, current):
             return RolloutRes(Code.DONE, command.service, current), False
-        if current is not None and current.state == RUNNING:
+        if current is not None and running_rollout(versions):
             refusal = f'{current.target} is being rolled out'
             return self._refused(command, refusal), False
         started = Rollout(
@@ -89,7 +96,7 @@
     def _step(self, command: StepRollout) -> tuple[RolloutRes, bool]:
         """Takes a step, unless another one was taken first."""
         versions = self.services.get(command.service)
-        current = versions.rollout if versions else None
+        current = running_rollout(versions)
         if (
             versions is None
             or current is None
@@ -159,8 +166,5 @@
 
 
 def _follows(command: StepRollout, current: Rollout) -> bool:
-    return (
-        current.state == RUNNING
-        and command.order == current.order
-        and command.step == current.step + 1
-    )
+    same_order = command.order == current.order
+    return same_order and command.step == current.step + 1
