Compare a new version's servers with the most old ones so far

Cause: the room that a share needs was worked out from the old servers that were ready at the moment.

Change: the leader keeps the most old servers that were ready at the same time since it saw the order, and compares with those.

Evidence: a test with six old servers that leave for a while fails before (completed) and passes now (rolled back, not proven in time).

Not covered: a leader elected while old servers are down has not seen them.

--- a/papayalock/control/rolloutmanager.py
+++ b/papayalock/control/rolloutmanager.py
@@ -50,6 +50,7 @@
     trial: Trial
     table: EvidenceTable
     stage_calls: int = 0
+    most_old_servers: int = 0  # ready at the same time
 
     def elapsed_ms(self, now: float) -> int:
         """Returns the time since the order."""
@@ -228,12 +229,13 @@
             for endpoint in endpoints
             if endpoint.version == rollout.target
         ]
+        running.most_old_servers = max(running.most_old_servers, len(old))
         trial = running.trial
         return Observed(
             elapsed_ms=running.elapsed_ms(now),
             stage_ms=int((now - running.stepped_at) * MS_PER_S),
             new_servers=len(new),
-            old_servers=len(old),
+            old_servers=running.most_old_servers,
             old_running=running.table.running(
                 old, running.stepped_at + REPORT_DELAY_S
             ),
--- a/papayalock/core/promotion.py
+++ b/papayalock/core/promotion.py
@@ -38,7 +38,7 @@
     elapsed_ms: int  # since the order
     stage_ms: int  # since the newest step
     new_servers: int  # ready servers of the new version
-    old_servers: int  # ready servers of the other versions
+    old_servers: int  # most ready servers of the other versions so far
     old_running: int | None  # calls at the latter; None if unknown
     is_bad: bool
     passed: bool  # whether the evidence of this stage is good enough
--- a/test/test_rolloutmanager.py
+++ b/test/test_rolloutmanager.py
@@ -177,6 +177,24 @@
         assert rollout.state == COMPLETED
         assert rollout.elapsed_ms < 12_000
 
+    def test_servers_that_are_down_for_a_while_still_count_as_capacity(self):
+        """One new server must not replace six that are down for a while."""
+
+        def script(now, fleet):
+            if now == 0:
+                fleet.start('v2', 1)
+            if now == 1:
+                for number in range(6):
+                    left = endpoint(
+                        f'v1-{number}', service=SERVICE, state='left'
+                    )
+                    fleet.coordinator.distributor.table.attach(left, 1)
+            if rollout_of(fleet.coordinator).state == RUNNING:
+                fleet.serve(2.0)
+
+        coordinator = play(12, script)
+        assert rollout_of(coordinator).state == ROLLED_BACK
+
     def test_no_step_is_taken_without_a_quorum(self):
         def script(now, fleet):
             fleet.coordinator.reachable = False
