Know returning callers by their request, not by their patience

What callers saw: under overload half of the first calls were treated as late before they had waited, as their own limits differ: the node took the largest limit that it had seen on a route for everyone's and struck the difference off the latency objective. The gate refused and sorted by that.

Change: a node remembers the calls that it refused or that failed, by the digest of the request and the time at which the caller's deadline passes (core/refusals, bounded in number and time). A call that matches both comes from a returning caller, and its objective counts from the first call.

--- a/papayalock/node/accesslog.py
+++ b/papayalock/node/accesslog.py
@@ -101,16 +101,31 @@
     call: Call
     metadata: CallerMetadata
     arrived_at: float
+    first_arrived_at: float  # or of the first call of a refused caller
     route: HostRoute
     service: str
-    deadline_at: float
-    target_at: float
-    returning: bool
+    caller_deadline_at: float  # until which the caller waits
     request: str  # digest of its content
     customer: Customer | None = None
     key: str = ''  # digest of the API key
     tries: list[TryRecord] = field(default_factory=list)
 
+    @property
+    def returning(self) -> bool:
+        """Whether the caller was refused before."""
+        return self.first_arrived_at < self.arrived_at
+
+    @property
+    def deadline_at(self) -> float:
+        """When the call has to end, by its caller or by its route."""
+        timeout_s = self.route.timeout_ms / MS_PER_S
+        return min(self.caller_deadline_at, self.arrived_at + timeout_s)
+
+    @property
+    def target_at(self) -> float:
+        """When the latency objective ends, from the caller's first call on."""
+        return self.first_arrived_at + self.route.target_ms / MS_PER_S
+
     @property
     def rank(self) -> int:
         """Priority of the call; 0 is the highest."""
@@ -195,6 +210,7 @@
         nodes = self._agent.placement.node_count
         fields: Fields = {
             'call': routed.metadata.call,
+            'request': routed.request,
             'route': routed.route.name,
             'rank': routed.rank,
             'service': routed.service,
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -10,6 +10,7 @@
 )
 from papayalock.core.hostroutes import TrafficSplitter
 from papayalock.core.placement import Placement
+from papayalock.core.refusals import RefusedCall, RefusedCalls
 from papayalock.core.shutdowntimes import RETRY_AFTER_MS, ShutdownTimes
 from papayalock.dialect import CallDialect
 from papayalock.messages import Customer, HostRoute
@@ -31,9 +32,6 @@
 MS_PER_S = 1000
 # Retry-after delay of a node that has just started and has no routes yet.
 NO_ROUTES_RETRY_AFTER_MS = 800
-# A caller that gives less than this share of the route's usual deadline has
-# spent the rest on an earlier request, so its call is marked as a retry.
-RETURNING_DEADLINE_SHARE = 0.95
 
 
 class OutboundProxy:
@@ -73,7 +71,7 @@
         self._splitter = TrafficSplitter(rng, self._is_reachable)
         self._budgets: dict[str, SharedBudget] = {}
         self._searches: dict[str, SlotSearch] = {}
-        self._usual_deadline_ms: dict[str, int] = {}
+        self._refused_calls = RefusedCalls()
         self._access_log = AccessLog(
             agent, clock, metrics, lag, settings.log.sample
         )
@@ -107,6 +105,13 @@
         self._access_log.log_ended(routed, outcome, budget)
         if isinstance(outcome, NoResponse) or outcome.failed:
             self._inbound.callee_failures += 1
+            self._refused_calls.remember(
+                RefusedCall(
+                    routed.request,
+                    routed.first_arrived_at,
+                    routed.caller_deadline_at,
+                )
+            )
         return outcome
 
     def _route_call(self, call: Call) -> RoutedCall | NoResponse:
@@ -155,27 +160,27 @@
     def _apply_route(self, call: Call, route: HostRoute) -> RoutedCall:
         now = self._clock.monotonic()
         metadata = self._dialect.read_metadata(call)
-        usual_ms = self._usual_deadline_ms.get(route.name, 0)
+        request = request_digest(
+            call.method,
+            call.header(b'host'),
+            call.target,
+            call.body,
+            self._digest_key,
+        )
         caller_deadline_ms = metadata.deadline_ms or route.timeout_ms
-        self._usual_deadline_ms[route.name] = max(usual_ms, caller_deadline_ms)
-        spent_ms = max(0, usual_ms - caller_deadline_ms)
-        remaining_ms = min(caller_deadline_ms, route.timeout_ms)
+        caller_deadline_at = now + caller_deadline_ms / MS_PER_S
+        refused_at = self._refused_calls.find_first_arrival(
+            request, caller_deadline_at, now
+        )
         return RoutedCall(
             call=call,
             metadata=metadata,
             arrived_at=now,
+            first_arrived_at=now if refused_at is None else refused_at,
             route=route,
             service=self._splitter.choose(route, now),
-            deadline_at=now + remaining_ms / MS_PER_S,
-            target_at=now + (route.target_ms - spent_ms) / MS_PER_S,
-            returning=caller_deadline_ms < usual_ms * RETURNING_DEADLINE_SHARE,
-            request=request_digest(
-                call.method,
-                call.header(b'host'),
-                call.target,
-                call.body,
-                self._digest_key,
-            ),
+            caller_deadline_at=caller_deadline_at,
+            request=request,
         )
 
     async def _run_to_deadline(
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -3,14 +3,18 @@
 import asyncio
 import random
 
+import msgspec
+
 from papayalock.config import make_settings
 from papayalock.core.exposure import Exposure
 from papayalock.core.placement import Placement
 from papayalock.core.shutdowntimes import ShutdownTimes
 from papayalock.httpclient import ClientConn
+from papayalock.messages import HopOrder
 from papayalock.native import CALL_HEADER, REMAINING_HEADER, NativeCalls
 from papayalock.node.crashreports import CrashReports
 from papayalock.node.http import Call
+from papayalock.node.inbound import ORDER_HEADER
 from papayalock.node.lag import LoopLag
 from papayalock.node.outbound import OutboundProxy
 from papayalock.node.outcome import NoResponse, ServerResponse
@@ -37,6 +41,14 @@
 SILENCE_S = 0.24
 
 
+def sent_order(conn: 'FarConn') -> HopOrder:
+    """Returns the order of the call that a connection carried."""
+    lines = conn.sent.split(b'\r\n')
+    prefix = ORDER_HEADER + b': '
+    text = next(line for line in lines if line.startswith(prefix))
+    return msgspec.json.decode(text.removeprefix(prefix), type=HopOrder)
+
+
 Script = list[tuple[float, bytes | None]]
 
 
@@ -307,3 +319,37 @@
         caller = self.after(FarNodes([(0.3, None)]))
         (peer,) = caller.agent.placement.servers.values()
         assert peer.failures == 1
+
+
+class TestReturningCallers:
+    """Overload: callers of uneven patience, of whom some were refused."""
+
+    def orders(self, *calls: tuple[float, int], answer: bytes):
+        """Returns the hop orders of calls of one request.
+
+        :param calls: seconds before each call, and the deadline it states
+        """
+        far = FarNodes([(0.01, answer)], [(0.01, answer)], [(0.01, answer)])
+
+        async def run():
+            caller = Caller(far, timeout_ms=1000, target_ms=500)
+            # The first server is the only one left to ask.
+            for name in far.names[1:]:
+                caller.agent.placement.remove(name)
+            for delay_s, deadline_ms in calls:
+                await asyncio.sleep(delay_s)
+                await caller.call(deadline_ms)
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            runner.run(run())
+        return [sent_order(conn) for conn in far.conns]
+
+    def test_impatience_does_not_shorten_the_latency_objective(self):
+        impatient = self.orders((0, 4000), (0, 3400), answer=GOOD)[1]
+        assert impatient.target_ms >= 499
+        assert not impatient.returning
+
+    def test_returning_caller_is_known_and_its_objective_goes_on(self):
+        returning = self.orders((0, 900), (0.1, 760), answer=FAILED)[-1]
+        assert returning.returning
+        assert 340 <= returning.target_ms <= 390
