Load model: links, uneven patience, refusing servers, and an upper bound

* no VM had a link.

Callers now return to the node that refused them, as often as their kind does, until their own limits, which differ; known by their request as in the product. Servers may refuse a share of what they get.

--- a/bench/loadmodel/__main__.py
+++ b/bench/loadmodel/__main__.py
@@ -1,8 +1,9 @@
 """Simulates a scenario: ``python -m bench.loadmodel okwuosa --load 1.4``.
 
-Prints the results for the product code and for simpler baselines, as means
-over the seeds. ``--plot FILE`` plots the share of the worth that callers got
-by kind of call, zone and second.
+Prints an upper bound on the worth that callers can get, and the results for
+the product code and for simpler baselines, as means over the seeds. ``--plot
+FILE`` plots the share of the worth that callers got by kind of call, zone and
+second.
 """
 
 import argparse
@@ -12,6 +13,7 @@
 from pathlib import Path
 
 from bench.loadmodel.baseline import FifoGate, RandomPlacement
+from bench.loadmodel.bound import bound_share
 from bench.loadmodel.model import MeshSimulation, RunResult, Variant
 from bench.loadmodel.plot import write_plot
 from bench.loadmodel.scenario import (
@@ -86,6 +88,7 @@
         sys.stderr.write(f'{exc}\n')
         return 2
     scenario.load = args.load or scenario.load
+    sys.stdout.write(f'upper bound {bound_share(scenario):.3f}\n')
     with ProcessPoolExecutor(args.jobs) as pool:
         for variant in args.variant or VARIANTS:
             futures = [
--- a/bench/loadmodel/model.py
+++ b/bench/loadmodel/model.py
@@ -12,7 +12,12 @@
 import simpy
 
 from bench.loadmodel.crashes import CrashingServer
-from bench.loadmodel.scenario import CallKind, Scenario, ServerFault
+from bench.loadmodel.scenario import (
+    CallKind,
+    Scenario,
+    ServerFault,
+    ServerRefusals,
+)
 from bench.loadmodel.servers import SimProcess, SimulatedServer
 from papayalock.core.admission import Job, ServerGate
 from papayalock.core.budget import SharedBudget
@@ -27,6 +32,7 @@
     next_server,
 )
 from papayalock.core.placement import Placement
+from papayalock.core.refusals import RefusedCall, RefusedCalls
 from papayalock.messages import Endpoint
 from papayalock.result import Code
 
@@ -35,7 +41,9 @@
 CROSS_ZONE_DELAY_S = 0.0014  # one way, to another zone
 CALLER_DELAY_S = 0.003  # one way, between a caller and its node
 MAX_REFUSALS = 5
-HOP_HEADER_BYTES = 1200  # headers of a request and its response
+REQUEST_HEADER_BYTES = 540  # from node to node
+RESPONSE_HEADER_BYTES = 260  # from node to node; all of a refusal
+CALLER_HEADER_BYTES = 200  # of a request or a response of a caller
 MAX_RUNS = 2
 BUDGET_WINDOW_MS = 10_000
 BUDGET_SHARE = 0.2
@@ -109,6 +117,7 @@
         self.server = server
         self.zone = server.zone
         self.placement = placement
+        self.refused_calls = RefusedCalls()
         self._budgets: dict[str, SharedBudget] = {}
         self._searches: dict[str, SlotSearch] = {}
 
@@ -157,6 +166,8 @@
                     self.env.process(self._generate_calls(kind, zone))
         for fault in self._scenario.losses:
             self.env.process(self._apply_fault(fault))
+        for refusals in self._scenario.refusals:
+            self.env.process(self._apply_refusals(refusals))
         for crash in self._scenario.crashes:
             for server in self._servers_of(crash.service)[: crash.count]:
                 process = CrashingServer(
@@ -180,6 +191,7 @@
                         zone,
                         self._create_gate(service.slots),
                         next(speeds),
+                        self._scenario.link_mbps,
                     )
                     servers.append(server)
         return servers
@@ -219,28 +231,40 @@
         for server in affected[: fault.count]:
             server.slowdown = 1.0
 
+    def _apply_refusals(self, refusals: ServerRefusals) -> SimProcess:
+        affected = self._servers_of(refusals.service)[: refusals.count]
+        yield self.env.timeout(refusals.at)
+        for server in affected:
+            server.refused_share = refusals.share
+        yield self.env.timeout(refusals.for_s)
+        for server in affected:
+            server.refused_share = 0.0
+
     def _servers_of(self, service: str) -> list[SimulatedServer]:
         return [server for server in self.servers if server.service == service]
 
     # Callers.
 
     def _run_caller(self, kind: CallKind, node: Node) -> SimProcess:
-        """Sends a call; repeats it once, after a delay, if it is refused."""
+        """Sends a call; repeats it after a delay, if it is refused."""
         started = self.env.now
-        deadline = started + kind.deadline_ms / MS_PER_S
+        impatience = self._scenario.impatience * self.rng.random()
+        limit_s = (kind.limit_ms or kind.deadline_ms) / MS_PER_S
+        limit_at = started + limit_s * (1 - impatience)
         target = started + kind.target_ms / MS_PER_S
-        outcome = yield from self._send_to_node(kind, node, target, deadline)
-        if outcome.refused:
-            time_left = deadline - self.env.now
+        request = f'{self.rng.getrandbits(64):016x}'
+        for retries_left in range(kind.retries, -1, -1):
+            outcome = yield from self._send_to_node(
+                kind, node, request, limit_at
+            )
+            if not (outcome.refused and retries_left):
+                break
+            time_left = limit_at - self.env.now
+            if time_left <= 0:
+                break
             yield self.env.timeout(
                 min(outcome.retry_after_s, time_left * MAX_RETRY_DELAY_SHARE)
             )
-            retry_node = self.rng.choice(
-                [peer for peer in self.nodes if peer.zone == node.zone]
-            )
-            outcome = yield from self._send_to_node(
-                kind, retry_node, target, deadline, returning=True
-            )
         self._count_call(kind, node.zone, started, target, outcome)
 
     def _count_call(
@@ -265,18 +289,26 @@
     # Nodes.
 
     def _send_to_node(
-        self,
-        kind: CallKind,
-        node: Node,
-        target: float,
-        deadline: float,
-        *,
-        returning: bool = False,
+        self, kind: CallKind, node: Node, request: str, limit_at: float
     ) -> SimProcess:
         yield self.env.timeout(CALLER_DELAY_S)
+        yield node.server.link_in.send(kind.request_bytes + CALLER_HEADER_BYTES)
+        now = self.env.now
+        first = node.refused_calls.find_first_arrival(request, limit_at, now)
+        first_arrived = now if first is None else first
         outcome = yield from self._route_call(
-            kind, node, target, deadline, returning=returning
+            kind,
+            node,
+            first_arrived + kind.target_ms / MS_PER_S,
+            min(limit_at, now + kind.deadline_ms / MS_PER_S),
+            returning=first is not None,
         )
+        if not outcome.good:
+            node.refused_calls.remember(
+                RefusedCall(request, first_arrived, limit_at)
+            )
+        answer_bytes = kind.answer_bytes if outcome.good else 0
+        yield node.server.link_out.send(answer_bytes + CALLER_HEADER_BYTES)
         yield self.env.timeout(CALLER_DELAY_S)
         return outcome
 
@@ -357,7 +389,7 @@
         node.placement.record_load(peer, server.gate.load(), self.env.now)
         if outcome.good:
             node.placement.record_response_size(kind.name, kind.answer_bytes)
-        elif arrived:
+        elif arrived and not outcome.refused:
             code = Code.UNKNOWN_BROKEN
         return outcome, code, arrived
 
@@ -368,26 +400,48 @@
 
         Returns the result, the code, and whether the server ran the call.
         """
-        delay_s = 0.0
-        cross_zone = server.zone != node.zone
-        if server is not node.server:
-            delay_s = CROSS_ZONE_DELAY_S if cross_zone else SAME_ZONE_DELAY_S
-            delay_s += self.rng.expovariate(MS_PER_S / self._scenario.hop_ms)
-        yield self.env.timeout(delay_s)
+        yield from self._cross(
+            kind.request_bytes + REQUEST_HEADER_BYTES, node.server, server
+        )
         self.result.tries += 1
-        self.result.cross_zone_bytes += cross_zone * HOP_HEADER_BYTES
         job.arrived = self.env.now
+        outcome, code, arrived = yield from self._run_at(kind, server, job)
+        answer_bytes = kind.answer_bytes if arrived and outcome.good else 0
+        yield from self._cross(
+            answer_bytes + RESPONSE_HEADER_BYTES, server, node.server
+        )
+        return outcome, code, arrived
+
+    def _cross(
+        self, size: int, sender: SimulatedServer, receiver: SimulatedServer
+    ) -> SimProcess:
+        """Carries a message from the node of one server to that of another."""
+        if sender is receiver:
+            return
+        cross_zone = sender.zone != receiver.zone
+        self.result.cross_zone_bytes += cross_zone * size
+        delay_s = CROSS_ZONE_DELAY_S if cross_zone else SAME_ZONE_DELAY_S
+        delay_s += self.rng.expovariate(MS_PER_S / self._scenario.hop_ms)
+        yield sender.link_out.send(size)
+        yield self.env.timeout(delay_s)
+        yield receiver.link_in.send(size)
+
+    def _run_at(
+        self, kind: CallKind, server: SimulatedServer, job: Job
+    ) -> SimProcess:
+        """Runs a try at its server, once the gate lets it."""
         shed: Shed | None = yield from server.acquire_slot(job)
         if shed is not None:
-            yield self.env.timeout(delay_s)
             retry_after_s = shed.retry_after_ms / MS_PER_S
             return CallResult(False, True, retry_after_s), shed.code, False
+        if self.rng.random() < server.refused_share:
+            server.release_slot(job)
+            server.gate.record_outcome(failed=True)
+            return CallResult(False, True), Code.SHED, True
         good = yield from self._execute(kind, server, job)
         job.served = good
         server.release_slot(job)
         server.gate.record_outcome(failed=not good)
-        self.result.cross_zone_bytes += cross_zone * kind.answer_bytes
-        yield self.env.timeout(delay_s)
         return CallResult(good), Code.DONE, True
 
     def _execute(
--- a/bench/loadmodel/scenario.py
+++ b/bench/loadmodel/scenario.py
@@ -34,7 +34,8 @@
 class CallKind(Struct, forbid_unknown_fields=True):
     """A kind of call.
 
-    Times are in ms; ``per_s`` is the arrival rate in each zone.
+    Times are in ms; ``per_s`` is the arrival rate in each zone. A call has
+    ``deadline_ms``, its caller with all its retries ``limit_ms``, if given.
     """
 
     name: str
@@ -44,11 +45,14 @@
     deadline_ms: Positive
     work_ms: Positive
     spread: Annotated[float, Meta(ge=0)] = 0.5
+    request_bytes: Annotated[int, Meta(ge=0)] = 0  # of the body
     answer_bytes: Annotated[int, Meta(ge=0)] = 0
     repeatable: bool = True
     worth: float = 1.0
     late_worth: float = 0.3
     per_s: Annotated[float, Meta(ge=0)] = 0.0
+    limit_ms: Positive | None = None
+    retries: Annotated[int, Meta(ge=0)] = 1
     inner: list[InnerCall] = field(default_factory=list)
 
 
@@ -74,6 +78,16 @@
     slower: Positive = 1e9
 
 
+class ServerRefusals(Struct, forbid_unknown_fields=True):
+    """A time span in which some servers refuse a share of what reaches them."""
+
+    at: Annotated[float, Meta(ge=0)]
+    service: str
+    count: Annotated[int, Meta(ge=1)]
+    for_s: Positive
+    share: Share
+
+
 class ServerCrash(Struct, forbid_unknown_fields=True):
     """A crash of some servers of a service, which return under new names.
 
@@ -96,8 +110,11 @@
     kinds: Annotated[list[CallKind], Meta(min_length=1)]
     load: Positive = 1.0  # factor on every arrival rate
     hop_ms: Positive = 0.3  # mean time in the nodes, in each direction of a hop
+    link_mbps: Positive = 1000.0  # of each VM, in each direction
+    impatience: Share = 0.0  # by up to so much callers' limits are shorter
     bursts: list[Burst] = field(default_factory=list)
     losses: list[ServerFault] = field(default_factory=list)
+    refusals: list[ServerRefusals] = field(default_factory=list)
     crashes: list[ServerCrash] = field(default_factory=list)
 
 
--- a/bench/loadmodel/servers.py
+++ b/bench/loadmodel/servers.py
@@ -6,6 +6,7 @@
 
 import simpy
 
+from bench.loadmodel.links import Link
 from bench.loadmodel.scenario import CallKind
 from papayalock.core.admission import Job, ServerGate
 from papayalock.core.gate import Queued, Shed
@@ -25,16 +26,21 @@
         zone: str,
         gate: ServerGate,
         speed: float,
+        link_mbps: float,
     ) -> None:
         """Creates an idle server.
 
         :param speed: factor on the speed of the server's own work
+        :param link_mbps: of the VM of the server and its node
         """
+        self.link_in = Link(env, link_mbps)
+        self.link_out = Link(env, link_mbps)
         self.name = name
         self.service = service
         self.zone = zone
         self.speed = speed
         self.slowdown = 1.0
+        self.refused_share = 0.0  # of the calls that it would run
         self.gate = gate
         self.crashed = env.event()
         self._env = env
--- a/test/test_loadmodel.py
+++ b/test/test_loadmodel.py
@@ -31,7 +31,8 @@
 
 class TestScenario:
     @pytest.mark.parametrize(
-        'name', ['okwuosa', 'qureshi', 'okwuosa-grown', 'homeswap-grown']
+        'name',
+        ['okwuosa', 'qureshi', 'okwuosa-grown', 'homeswap', 'homeswap-grown'],
     )
     def test_bundled_scenarios_are_valid(self, name):
         assert isinstance(read_bundled_scenario(name), Scenario)
