--- a/papayalock/core/hedging.py
+++ b/papayalock/core/hedging.py
@@ -71,16 +71,15 @@
     def pays_off(self, wait_s: float) -> bool:
         """Returns whether a new call should look for a free slot first.
 
-        The search is expected to take the time of one ask for each share of
-        asks that finds a slot. Some calls search in any case, so that the
-        search is known to pay off once it does again.
+        Some calls search in any case, so that the search is known to pay off
+        once it does again.
 
         :param wait_s: expected wait for a slot without a search
         """
         self._calls += 1
         if self._calls % CALLS_PER_TRIAL == 0:
             return True
-        return self._ask_s < wait_s * self._found_share
+        return self._ask_s < wait_s
 
     def record(self, *, found: bool, took_s: float) -> None:
         """Counts the result of an ask.
