Count the delay on the path to a server when choosing one

Change: a node says how long a call was with it (papayalock-took); the caller's node keeps the rest of the try's time, smoothed and fading, for each server, and adds what exceeds an idle path to the cost of the server. Nodes that do not say it are charged nothing.

--- a/bench/loadmodel/model.py
+++ b/bench/loadmodel/model.py
@@ -386,13 +386,11 @@
     def _try_server(
         self, kind: CallKind, node: Node, peer: KnownServer, job: Job
     ) -> SimProcess:
-        server = self._server_by_name(peer.endpoint.server)
         node.placement.call_started(peer)
-        outcome, code, arrived = yield from self._forward(
-            kind, node, server, job
-        )
+        outcome, code, arrived = yield from self._forward(kind, node, peer, job)
         node.placement.call_finished(peer, code, self.env.now)
-        node.placement.record_load(peer, server.gate.load(), self.env.now)
+        load = self._server_by_name(peer.endpoint.server).gate.load()
+        node.placement.record_load(peer, load, self.env.now)
         if outcome.good:
             node.placement.record_response_size(kind.name, kind.answer_bytes)
         elif arrived and not outcome.refused:
@@ -400,22 +398,29 @@
         return outcome, code, arrived
 
     def _forward(
-        self, kind: CallKind, node: Node, server: SimulatedServer, job: Job
+        self, kind: CallKind, node: Node, peer: KnownServer, job: Job
     ) -> SimProcess:
         """Sends a try through the gate of a server.
 
         Returns the result, the code, and whether the server ran the call.
         """
+        server = self._server_by_name(peer.endpoint.server)
+        sent = self.env.now
         yield from self._cross(
             kind.request_bytes + REQUEST_HEADER_BYTES, node.server, server
         )
         self.result.tries += 1
         job.arrived = self.env.now
         outcome, code, arrived = yield from self._run_at(kind, server, job)
+        took_s = self.env.now - job.arrived
         answer_bytes = kind.answer_bytes if arrived and outcome.good else 0
         yield from self._cross(
             answer_bytes + RESPONSE_HEADER_BYTES, server, node.server
         )
+        if server is not node.server:
+            node.placement.record_hop(
+                peer, self.env.now - sent - took_s, self.env.now
+            )
         return outcome, code, arrived
 
     def _cross(
--- a/papayalock/core/directory.py
+++ b/papayalock/core/directory.py
@@ -17,6 +17,8 @@
         'backoff_until',
         'endpoint',
         'failures',
+        'hop_at',
+        'hop_s',
         'in_flight',
         'limit_refusals',
         'load',
@@ -33,6 +35,8 @@
         self.load_at = now  # monotonic time of the newest load report
         self.others_in_flight = 0  # calls of other nodes, from that report
         self.failures = 0
+        self.hop_s = 0.0  # smoothed time of calls outside the server's node
+        self.hop_at = now  # monotonic time of its newest measurement
         self.limit_refusals = 0  # consecutive ones while the server is limited
         self.backoff_until = float('-inf')
         self.unlisted_at = float('inf')
--- a/papayalock/core/placement.py
+++ b/papayalock/core/placement.py
@@ -5,6 +5,8 @@
 differ in speed and in load.
 """
 
+import math
+
 from papayalock.core.directory import Directory, KnownServer
 from papayalock.core.exposure import Cohort
 from papayalock.core.ratelimit import MIN_RATE
@@ -21,6 +23,9 @@
 OTHER_ZONE_S_PER_KB = 0.06  # per KB of response; such traffic is billed
 BYTES_PER_KB = 1024
 SIZE_SMOOTHING = 0.05  # weight of the newest response size in its average
+IDLE_HOP_S = 0.01  # longest hop while no link or VM on the path is busy
+HOP_SMOOTHING = 0.2  # weight of the newest hop time in its average
+HOP_DECAY_S = 2.0  # time constant with which a hop time fades out
 TIE_RATIO = 1.1  # costs within this ratio of the lowest count as equal
 BUSY_WEIGHT = 0.2  # relative slowdown of a server whose slots are all in use
 FAILING_WEIGHT = 6.0  # relative cost added per share of failed calls
@@ -149,7 +154,7 @@
         costs = [
             (
                 self._cost(server, typical, now)
-                + self._network_cost(server, route),
+                + self._network_cost(server, route, now),
                 server,
             )
             for server in usable
@@ -202,6 +207,18 @@
         server.load_at = now
         server.others_in_flight = max(0, load.jobs - server.in_flight + 1)
 
+    def record_hop(self, server: KnownServer, hop_s: float, now: float) -> None:
+        """Updates the time that calls to a server spend outside its node.
+
+        Full links and slow VMs show in it, which the load does not tell.
+
+        :param hop_s: of a call that has just ended: its whole time less that
+            at the server's node
+        """
+        current = _current_hop_s(server, now)
+        server.hop_s = current + HOP_SMOOTHING * (hop_s - current)
+        server.hop_at = now
+
     def _first_out_of_backoff(
         self, ready: list[KnownServer], now: float
     ) -> KnownServer | None:
@@ -269,14 +286,18 @@
             return _slots(server)
         return max(MIN_SLOTS, min(_slots(server), limit * service_s))
 
-    def _network_cost(self, server: KnownServer, route: str) -> float:
+    def _network_cost(
+        self, server: KnownServer, route: str, now: float
+    ) -> float:
         """Returns the cost of the network path to a server, in seconds."""
         if server.endpoint.address == self._own:
             return 0.0
+        delay_s = _hop_delay_s(server, now)
         if server.endpoint.zone == self._zone:
-            return SAME_ZONE_HOP_S
+            return delay_s + SAME_ZONE_HOP_S
         return (
-            OTHER_ZONE_HOP_S
+            delay_s
+            + OTHER_ZONE_HOP_S
             + OTHER_ZONE_S_PER_KB * self._sizes.get(route, 0.0) / BYTES_PER_KB
         )
 
@@ -292,6 +313,16 @@
     )
 
 
+def _current_hop_s(server: KnownServer, now: float) -> float:
+    """Returns the time outside a server's node; old measurements fade out."""
+    return server.hop_s * math.exp((server.hop_at - now) / HOP_DECAY_S)
+
+
+def _hop_delay_s(server: KnownServer, now: float) -> float:
+    """Returns by how much the path to a server is slower than an idle one."""
+    return max(0.0, _current_hop_s(server, now) - IDLE_HOP_S)
+
+
 def _slot_wait_s(server: KnownServer, load: ServerLoad, now: float) -> float:
     """Returns the time until a new call gets a slot of a full server."""
     slots = _slots(server)
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -51,6 +51,7 @@
 MS_PER_S = 1000
 ORDER_HEADER = b'papayalock-order'
 ARRIVED_HEADER = b'papayalock-arrived'
+TOOK_HEADER = b'papayalock-took'
 CALLEE_FAILED_HEADER = b'papayalock-callee-failed'
 MAX_RESPONSE_BYTES = 16_777_216  # larger responses are not forwarded
 SERVICE_UNAVAILABLE = 503
@@ -68,6 +69,7 @@
         LOAD_HEADER,
         OUTCOME_HEADER,
         ARRIVED_HEADER,
+        TOOK_HEADER,
         CALLEE_FAILED_HEADER,
         NOTICE_HEADER,
     )
@@ -155,10 +157,13 @@
             reply.refuse(Code.BAD_REQUEST, f'no order: {exc}')
             return
         self.notices.adopt(call)
+        began = self._clock.monotonic()
         with KeepaliveSender(reply, self._alive_ms):
             await self._process_disconnects()
             outcome = await self.run(order, call)
+        took_ms = (self._clock.monotonic() - began) * MS_PER_S
         state = self._state_headers(order)
+        state.append((TOOK_HEADER, b'%d' % took_ms))
         if isinstance(outcome, ServerResponse):
             headers = [*outcome.headers, *state, (OUTCOME_HEADER, b'0 DONE')]
             headers.append(
--- a/papayalock/node/tryrunner.py
+++ b/papayalock/node/tryrunner.py
@@ -29,6 +29,7 @@
     MAX_RESPONSE_BYTES,
     NOT_FORWARDED,
     ORDER_HEADER,
+    TOOK_HEADER,
     InboundProxy,
 )
 from papayalock.node.outcome import (
@@ -175,6 +176,7 @@
         """
         at_most_once = not routed.route.repeatable
         address = server.endpoint.address
+        began = self._clock.monotonic()
         try:
             conn = await self._pool.acquire(
                 address, fresh=at_most_once and not routed.call.body
@@ -199,6 +201,8 @@
                 self._pool.release(address, conn)
             else:
                 conn.close()
+        took_s = self._clock.monotonic() - began
+        self._record_hop(server, response.header(TOOK_HEADER), took_s)
         return self._read_outcome(server, response, body)
 
     def _request(
@@ -289,6 +293,15 @@
             },
         )
 
+    def _record_hop(
+        self, server: KnownServer, header: bytes, took_s: float
+    ) -> None:
+        """Records the time that a call spent outside the server's node."""
+        if header.isdigit():
+            hop_s = max(0.0, took_s - int(header) / MS_PER_S)
+            now = self._clock.monotonic()
+            self._placement.record_hop(server, hop_s, now)
+
     def _record_load(self, server: KnownServer, header: bytes) -> None:
         try:
             load = _LOAD.decode(header)
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -321,6 +321,25 @@
         assert peer.failures == 1
 
 
+class TestHopTimes:
+    def hop_s(self, answer: bytes) -> float:
+        async def run():
+            caller = Caller(FarNodes([(0.2, answer)]))
+            await caller.call()
+            (server,) = caller.agent.placement.servers.values()
+            return server.hop_s
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            return runner.run(run())
+
+    def test_time_at_the_node_of_the_server_is_no_hop_time(self):
+        took = b'papayalock-took: 150\r\n' + LOAD
+        assert 0.009 < self.hop_s(GOOD.replace(LOAD, took)) < 0.02
+
+    def test_node_that_does_not_tell_its_time_leaves_the_hop_time(self):
+        assert self.hop_s(GOOD) == 0
+
+
 class TestReturningCallers:
     """Overload: callers of uneven patience, of whom some were refused."""
 
--- a/test/test_placement.py
+++ b/test/test_placement.py
@@ -212,3 +212,29 @@
 
     def test_server_without_a_report_is_returned(self):
         assert placement(endpoint('x')).choose_free('floor', 0) is not None
+
+
+class TestHopTimes:
+    """Links so full that servers with free slots answer late."""
+
+    def test_server_behind_a_full_link_is_avoided(self):
+        selector = placement(endpoint('near'), endpoint('clogged'))
+        load(selector, 'near', 100)
+        load(selector, 'clogged', 50)
+        for _ in range(10):
+            selector.record_hop(selector.servers['clogged'], 0.3, 0.0)
+        assert set(chosen(selector)) == {'near'}
+
+    def test_old_hop_times_fade_out(self):
+        selector = placement(endpoint('near'), endpoint('clogged'))
+        load(selector, 'near', 100)
+        load(selector, 'clogged', 50)
+        selector.record_hop(selector.servers['clogged'], 3.0, 0.0)
+        assert set(chosen(selector, now=12.0)) == {'clogged'}
+
+    def test_one_slow_hop_does_not_decide(self):
+        selector = placement(endpoint('near'), endpoint('clogged'))
+        load(selector, 'near', 100)
+        load(selector, 'clogged', 50)
+        selector.record_hop(selector.servers['clogged'], 0.1, 0.0)
+        assert set(chosen(selector)) == {'clogged'}
