--- a/bench/loadmodel/model.py
+++ b/bench/loadmodel/model.py
@@ -103,21 +103,26 @@
 
 @dataclass(slots=True, frozen=True)
 class Variant:
-    """The implementations of placement and gate that a run uses."""
+    """The implementations of the decisions that a run uses."""
 
     placement: type[Placement] = Placement
     gate: type[ServerGate] = ServerGate
+    search: type[SlotSearch] = SlotSearch
+    refused_calls: type[RefusedCalls] = RefusedCalls
 
 
 class Node:
     """The outbound side of the node beside a server."""
 
-    def __init__(self, server: SimulatedServer, placement: Placement) -> None:
+    def __init__(
+        self, server: SimulatedServer, variant: Variant, rng: random.Random
+    ) -> None:
         """Creates a node; the caller fills its placement with endpoints."""
         self.server = server
         self.zone = server.zone
-        self.placement = placement
-        self.refused_calls = RefusedCalls()
+        self.placement = variant.placement(server.zone, server.name, rng)
+        self.refused_calls = variant.refused_calls()
+        self._new_search = variant.search
         self._budgets: dict[str, SharedBudget] = {}
         self._searches: dict[str, SlotSearch] = {}
 
@@ -130,7 +135,9 @@
 
     def search(self, service: str) -> SlotSearch:
         """Returns this node's search for free slots of a service."""
-        return self._searches.setdefault(service, SlotSearch(MAX_REFUSALS))
+        return self._searches.setdefault(
+            service, self._new_search(MAX_REFUSALS)
+        )
 
 
 PRODUCT_VARIANT = Variant()
@@ -151,8 +158,7 @@
         self._kinds = {kind.name: kind for kind in scenario.kinds}
         self.servers = self._create_servers()
         self.nodes = [
-            Node(server, variant.placement(server.zone, server.name, self.rng))
-            for server in self.servers
+            Node(server, variant, self.rng) for server in self.servers
         ]
         for node in self.nodes:
             for server in self.servers:
