Send the headers between nodes without the names of their fields

Change: node/hopheaders encodes the order and the load as the contents of their fields, in order. An order is less than half as long.

--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -4,8 +4,6 @@
 import logging
 from dataclasses import replace
 
-import msgspec
-
 from papayalock.core.admission import Job, ServerGate, job_from_order
 from papayalock.core.heartbeats import BackendMonitor
 from papayalock.core.serverstarts import ServerStart, start_of
@@ -30,6 +28,7 @@
     CrashReports,
 )
 from papayalock.node.crashwatch import CrashWatch
+from papayalock.node.hopheaders import LOADS, ORDERS, HeaderError, is_short
 from papayalock.node.http import OUTCOME_HEADER, Call, Reply
 from papayalock.node.keepalive import KeepaliveSender
 from papayalock.node.lag import LoopLag
@@ -75,7 +74,6 @@
     )
 )
 NOT_FORWARDED = HOP_BY_HOP_HEADERS | INTERNAL_HEADERS
-_ORDER = msgspec.json.Decoder(HopOrder)
 
 
 class InboundProxy:
@@ -152,8 +150,8 @@
     async def handle(self, call: Call, reply: Reply) -> None:
         """Runs a call that another node forwarded and sends its outcome."""
         try:
-            order = _ORDER.decode(call.header(ORDER_HEADER))
-        except msgspec.MsgspecError as exc:
+            order = ORDERS.decode(call.header(ORDER_HEADER))
+        except HeaderError as exc:
             reply.refuse(Code.BAD_REQUEST, f'no order: {exc}')
             return
         self.notices.adopt(call)
@@ -162,13 +160,13 @@
             await self._process_disconnects()
             outcome = await self.run(order, call)
         took_ms = (self._clock.monotonic() - began) * MS_PER_S
-        state = self._state_headers(order)
+        short = is_short(call.header(ORDER_HEADER))
+        state = self._state_headers(order, short=short)
         state.append((TOOK_HEADER, b'%d' % took_ms))
         if isinstance(outcome, ServerResponse):
             headers = [*outcome.headers, *state, (OUTCOME_HEADER, b'0 DONE')]
-            headers.append(
-                (CALLEE_FAILED_HEADER, b'%d' % outcome.callee_failed)
-            )
+            if outcome.callee_failed:
+                headers.append((CALLEE_FAILED_HEADER, b'1'))
             reply.send(outcome.status, headers, outcome.body)
             return
         code = outcome.code
@@ -180,9 +178,12 @@
         ]
         reply.send(SERVICE_UNAVAILABLE, headers, outcome.reason.encode())
 
-    def _state_headers(self, order: HopOrder) -> Headers:
-        """Returns the headers that tell other nodes the server's state."""
-        load = (LOAD_HEADER, msgspec.json.encode(self._gate.load()))
+    def _state_headers(self, order: HopOrder, *, short: bool) -> Headers:
+        """Returns the headers that tell other nodes the server's state.
+
+        :param short: whether the calling node reads the short form
+        """
+        load = (LOAD_HEADER, LOADS.encode(self._gate.load(), short=short))
         notice = notice_headers(self.notices.current)
         return [load, *notice, *self._crash_reports.headers(order.request)]
 
--- a/papayalock/node/tryrunner.py
+++ b/papayalock/node/tryrunner.py
@@ -14,7 +14,7 @@
     Response,
     TransportError,
 )
-from papayalock.messages import HopOrder, NodeNotice, ServerLoad
+from papayalock.messages import HopOrder, NodeNotice
 from papayalock.node.accesslog import RoutedCall, TryRecord
 from papayalock.node.backendnotices import (
     NOTICE_HEADER,
@@ -22,6 +22,7 @@
     notice_headers,
 )
 from papayalock.node.crashreports import REPORT_HEADER, CrashReports
+from papayalock.node.hopheaders import LOADS, ORDERS
 from papayalock.node.http import OUTCOME_HEADER
 from papayalock.node.inbound import (
     ARRIVED_HEADER,
@@ -49,7 +50,6 @@
 MS_PER_S = 1000
 # Taken off the deadline of a hop, so that its response can return in time.
 RESPONSE_MARGIN_S = 0.002
-_LOAD = msgspec.json.Decoder(ServerLoad)
 
 
 class TryRunner:
@@ -213,7 +213,8 @@
         headers = [
             pair for pair in call.headers if pair[0] not in NOT_FORWARDED
         ]
-        headers.append((ORDER_HEADER, msgspec.json.encode(order)))
+        content = ORDERS.encode(order, short=server.reads_short)
+        headers.append((ORDER_HEADER, content))
         endpoint = server.endpoint
         notice = self._placement.notices.find(endpoint)
         headers += notice_headers(
@@ -296,15 +297,19 @@
     def _record_hop(
         self, server: KnownServer, header: bytes, took_s: float
     ) -> None:
-        """Records the time that a call spent outside the server's node."""
-        if header.isdigit():
+        """Records the time that a call spent outside the server's node.
+
+        A node that tells the time there also reads the short form of headers.
+        """
+        server.reads_short = header.isdigit()
+        if server.reads_short:
             hop_s = max(0.0, took_s - int(header) / MS_PER_S)
             now = self._clock.monotonic()
             self._placement.record_hop(server, hop_s, now)
 
     def _record_load(self, server: KnownServer, header: bytes) -> None:
         try:
-            load = _LOAD.decode(header)
+            load = LOADS.decode(header)
         except msgspec.MsgspecError as exc:
             self._log_bad_header(server, 'load', exc)
             return
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -3,8 +3,6 @@
 import asyncio
 import random
 
-import msgspec
-
 from papayalock.config import make_settings
 from papayalock.core.exposure import Exposure
 from papayalock.core.placement import Placement
@@ -14,6 +12,7 @@
 from papayalock.native import CALL_HEADER, REMAINING_HEADER, NativeCalls
 from papayalock.node.crashreports import CrashReports
 from papayalock.node.http import Call
+from papayalock.node.hopheaders import ORDERS
 from papayalock.node.inbound import ORDER_HEADER
 from papayalock.node.lag import LoopLag
 from papayalock.node.outbound import OutboundProxy
@@ -41,12 +40,17 @@
 SILENCE_S = 0.24
 
 
-def sent_order(conn: 'FarConn') -> HopOrder:
-    """Returns the order of the call that a connection carried."""
+def sent_header(conn: 'FarConn') -> bytes:
+    """Returns the order header of the call that a connection carried."""
     lines = conn.sent.split(b'\r\n')
     prefix = ORDER_HEADER + b': '
     text = next(line for line in lines if line.startswith(prefix))
-    return msgspec.json.decode(text.removeprefix(prefix), type=HopOrder)
+    return text.removeprefix(prefix)
+
+
+def sent_order(conn: 'FarConn') -> HopOrder:
+    """Returns the order of the call that a connection carried."""
+    return ORDERS.decode(sent_header(conn))
 
 
 Script = list[tuple[float, bytes | None]]
@@ -340,6 +344,35 @@
         assert self.hop_s(GOOD) == 0
 
 
+class TestShortHeaders:
+    """Links full of small calls: names are left out where both nodes can."""
+
+    def order_headers(self, answer: bytes) -> list[bytes]:
+        far = FarNodes([(0.01, answer)], [(0.01, answer)])
+
+        async def run():
+            caller = Caller(far)
+            caller.agent.placement.remove(far.names[1])
+            for _ in far.scripts:
+                await caller.call()
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            runner.run(run())
+        return [sent_header(conn) for conn in far.conns]
+
+    def test_order_is_short_once_the_node_is_known_to_read_it(self):
+        took = b'papayalock-took: 5\r\n' + LOAD
+        first, second = self.order_headers(GOOD.replace(LOAD, took))
+        assert first.startswith(b'{')
+        assert second.startswith(b'[')
+        assert len(second) < len(first) / 2
+
+    def test_order_stays_long_for_a_node_of_an_earlier_version(self):
+        assert all(
+            header.startswith(b'{') for header in self.order_headers(GOOD)
+        )
+
+
 class TestReturningCallers:
     """Overload: callers of uneven patience, of whom some were refused."""
 
