--- a/bench/loadmodel/__main__.py
+++ b/bench/loadmodel/__main__.py
@@ -14,8 +14,9 @@
 
 from bench.loadmodel.baseline import FifoGate, RandomPlacement
 from bench.loadmodel.bound import bound_share
-from bench.loadmodel.model import MeshSimulation, RunResult, Variant
+from bench.loadmodel.model import MeshSimulation, Variant
 from bench.loadmodel.plot import write_plot
+from bench.loadmodel.results import RunResult
 from bench.loadmodel.scenario import (
     Scenario,
     read_bundled_scenario,
--- a/bench/loadmodel/plot.py
+++ b/bench/loadmodel/plot.py
@@ -5,7 +5,7 @@
 import matplotlib as mpl
 from matplotlib import pyplot as plt
 
-from bench.loadmodel.model import RunResult, Tally
+from bench.loadmodel.results import RunResult, Tally
 
 mpl.use('svg')
 
