--- a/papayalock/core/directory.py
+++ b/papayalock/core/directory.py
@@ -37,8 +37,8 @@
         self.others_in_flight = 0  # calls of other nodes, from that report
         self.failures = 0
         self.hop_s = 0.0  # smoothed time of calls outside the server's node
-        self.reads_short = False  # whether its node reads short headers
         self.hop_at = now  # monotonic time of its newest measurement
+        self.reads_short = False  # whether its node reads short headers
         self.limit_refusals = 0  # consecutive ones while the server is limited
         self.backoff_until = float('-inf')
         self.unlisted_at = float('inf')
--- a/papayalock/core/hedging.py
+++ b/papayalock/core/hedging.py
@@ -28,7 +28,6 @@
 MIN_FOUND_SHARE = 0.2
 FOUND_SMOOTHING = 0.1  # weight of the newest ask in averages
 MAX_QUEUES = 2  # that a call tries to join which has not searched
-MAX_QUEUES = 2  # that a call tries to join which has not searched
 CALLS_PER_TRIAL = 8  # one of so many calls searches though it should not pay
 
 SERVER_GONE = frozenset(
@@ -105,7 +104,7 @@
     runs: int = 0  # servers that may have run the call
     pending_tries: int = 0  # responsive tries that have not ended
     may_queue: bool = False  # whether the next try may wait in a queue
-    direct: bool = False  # whether it joined a queue without such a search
+    direct: bool = False  # whether it joins a queue without such a search
     first_cohort: Cohort | None = None  # servers for the first try
     cohort: Cohort | None = None  # servers for further tries
 
