--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -152,8 +152,12 @@
 class ServerGate:
     """The slots of one backend server and the queue of calls for them."""
 
-    def __init__(self) -> None:
-        """Starts without slots; the announcement of a server sets them."""
+    def __init__(self, link_mbps: float = 0.0) -> None:
+        """Starts without slots; the announcement of a server sets them.
+
+        :param link_mbps: rate of the VM's own link; 0 if it is not known
+        """
+        self.link_mbps = link_mbps
         self.slots = 0
         self.rate_limit = RateLimit()
         self.shutdown_times = ShutdownTimes()
