Send large responses no faster than the VM's own link, beside all else it sends

Cause: a node handed every response of 90 to 540 KB to its connection at once. The archive's servers produce more than their links of 5.5 Mbit/s carry, so seconds of responses stood in the queue of the link, and polls for the configuration, heartbeats, hops and short answers behind them. A poll has 1.2 s; a failed one closes its connection, and a new one could not be opened in 0.25 s. Class: unpaced bulk data on a shared queue, with control behind it.

A gate refuses a call at once whose large response would come too late behind those on their way and those expected of running calls: behind others it has to meet its latency objective, and least urgent calls leave a share of that time. Replies of hops moved to node/hopreplies.py.

--- a/papayalock/core/admission.py
+++ b/papayalock/core/admission.py
@@ -13,6 +13,7 @@
 
 from papayalock.core.crashes import CrashStatus
 from papayalock.core.gate import AdmissionResult, Queued, Shed, Started
+from papayalock.core.linkload import LinkLoad
 from papayalock.core.ratelimit import RateLimit
 from papayalock.core.routecallers import RouteCallers
 from papayalock.core.shutdowntimes import ShutdownTimes
@@ -30,6 +31,7 @@
 LONG_CALL_RATIO = 3.0  # a call this much longer than more urgent ones is long
 RESERVED_RATIO = 1.5  # slots reserved for short, urgent calls per slot they use
 SHORT_WAIT_RATIO = 0.5  # of the service time; no reason to refuse a call
+LINK_WAIT_SHARE = 0.7  # of the time left, that least urgent calls may take
 SERVICE_MARGIN = 0.5  # allowance for calls slower than the mean, in means
 
 
@@ -157,7 +159,7 @@
 
         :param link_mbps: rate of the VM's own link; 0 if it is not known
         """
-        self.link_mbps = link_mbps
+        self.link = LinkLoad(link_mbps)
         self.slots = 0
         self.rate_limit = RateLimit()
         self.shutdown_times = ShutdownTimes()
@@ -194,15 +196,14 @@
             return Shed(Code.NO_SERVER, MIN_RETRY_AFTER_MS)
         if job.deadline_at <= now:
             return Shed(Code.DEADLINE_BEFORE_RUN, 0)
+        link_is_full = self._link_is_too_full(job, now)
         may_start = self._may_start(job, now) and not self._behind_isolated(
             [job], now
         )
-        if may_start and not self._ready_jobs(now):
+        if may_start and not link_is_full and not self._ready_jobs(now):
             self._start(job, now)
             return Started()
-        if not job.may_wait or len(self._waiting) >= MAX_QUEUED:
-            return Shed(Code.SHED, self.retry_after_ms(now))
-        if not self._should_queue(job, now, self.expected_wait_s(job)):
+        if link_is_full or not self._may_queue(job, now):
             return Shed(Code.SHED, self.retry_after_ms(now))
         self._waiting.append(job)
         return Queued()
@@ -211,6 +212,7 @@
         """Frees the slot of a call, or removes it from the queue."""
         if job in self.running:
             self.running.discard(job)
+            self.link.call_ended(job)
             self.usage.record(job.priority, now - job.started, now)
             if job.served:
                 self.service_times.record(job.route, now - job.started)
@@ -292,6 +294,24 @@
                 beyond.append(job)
         return beyond
 
+    def _link_is_too_full(self, job: Job, now: float) -> bool:
+        """Returns whether the response of a call would be sent too late.
+
+        Behind other large responses it has to meet the latency objective: the
+        link sends no more of them if all wait until their deadline. The least
+        urgent calls leave a share of the time before it to more urgent ones.
+        """
+        response_s = self.link.response_s(job.route)
+        if not response_s:
+            return False
+        backlog_s = self.link.backlog_s(now)
+        run_s = self.service_times.expected(job.route)
+        end = now + max(backlog_s, run_s) + response_s
+        if backlog_s <= response_s:
+            return end > job.deadline_at
+        share = 1.0 if job.priority < self._least_urgent else LINK_WAIT_SHARE
+        return end > now + share * (job.target_at - now)
+
     def _will_miss_target(self, job: Job, now: float) -> bool:
         """Returns whether a least urgent call can only miss its objective.
 
@@ -385,6 +405,11 @@
         )
         return max(slot_wait, self.rate_limit.wait_s(len(ahead), now))
 
+    def _may_queue(self, job: Job, now: float) -> bool:
+        if not job.may_wait or len(self._waiting) >= MAX_QUEUED:
+            return False
+        return self._should_queue(job, now, self.expected_wait_s(job))
+
     def _should_queue(self, job: Job, now: float, wait: float) -> bool:
         """Returns whether a call should queue for an expected wait.
 
@@ -426,3 +451,4 @@
         self.started += 1
         self.rate_limit.take(now)
         self.running.add(job)
+        self.link.call_started(job, job.route)
--- a/papayalock/httpclient.py
+++ b/papayalock/httpclient.py
@@ -28,6 +28,11 @@
 Headers = list[tuple[bytes, bytes]]
 MatchesCall = Callable[[Headers], bool]
 OnUnresponsive = Callable[[], None]
+OnWritten = Callable[[int], None]  # called with the number of bytes
+
+
+def ignore_written(size: int) -> None:
+    """Is the callback of connections whose bytes nobody counts."""
 
 
 class TransportError(Exception):
@@ -146,13 +151,18 @@
 class ClientConn(asyncio.Protocol):
     """One client connection; after an error it is closed, not reused."""
 
-    def __init__(self, buffers: BufferPool | None = None) -> None:
+    def __init__(
+        self,
+        buffers: BufferPool | None = None,
+        on_written: OnWritten = ignore_written,
+    ) -> None:
         """Creates a protocol that is not yet connected.
 
         :param buffers: memory that the bodies of responses share with those
             of other connections
         """
         self.buffers = buffers
+        self._on_written = on_written
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0.0
         self.used = False  # whether it has carried a call
@@ -301,6 +311,7 @@
 
     def _write(self, data: bytes) -> None:
         if self.transport is not None:
+            self._on_written(len(data))
             self.transport.write(data)
 
     async def _wait(self) -> None:
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -69,18 +69,18 @@
             poll_ms=settings.distribution.poll_ms,
             margin_ms=settings.distribution.margin_ms,
         )
-        gate = ServerGate()
+        self.gate = ServerGate(hosts.link_mbps)
         self.lag = LoopLag(SWEEP_INTERVAL_S)
         self.crashes = CrashParts(
             self.placement, pools.hop, address, clock, rng
         )
         self.metrics = HostMetrics(
-            self.agent, gate, self.lag, clock, self.crashes.reports
+            self.agent, self.gate, self.lag, clock, self.crashes.reports
         )
         self.inbound = InboundProxy(
             self.backend_monitor,
-            SlotQueue[Job](gate, clock),
-            gate,
+            SlotQueue[Job](self.gate, clock),
+            self.gate,
             pools.backend,
             dialects.calls,
             clock,
@@ -105,7 +105,7 @@
             clock,
             self.metrics,
             self.lag,
-            gate.shutdown_times,
+            self.gate.shutdown_times,
             rng,
             self.crashes.reports,
         )
@@ -151,7 +151,7 @@
             self.outbound,
             self.caller_server,
             self.hop_server,
-            gate.shutdown_times,
+            self.gate.shutdown_times,
             clock,
         )
         self.finder = BackendFinder(
@@ -163,6 +163,8 @@
             hosts,
         )
         self.agent.polls.read_load = self._read_load
+        if hosts.link_mbps:
+            self._count_sent_bytes(pools)
         self.agent.on_changed.append(self._apply_changes)
         self.agent.on_leased_contact.append(
             self.outbound.key_check.record_contact
@@ -224,6 +226,15 @@
         self.announcement_handler.service = settings.hosts.service
         self.outbound.try_runner.own_service = settings.hosts.service
 
+    def _count_sent_bytes(self, pools: NodePools) -> None:
+        """Charges the VM's link with all that is sent to other VMs."""
+        self.hop_server.on_written = self._charge_link
+        pools.hop.on_written = self._charge_link
+        pools.control.on_written = self._charge_link
+
+    def _charge_link(self, size: int) -> None:
+        self.gate.link.budget.charge(size, self._clock.monotonic())
+
     def _read_load(self) -> dict[str, float]:
         """Returns what tells a full link, a slow VM and a lost peer apart."""
         return {
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -11,26 +11,26 @@
 from papayalock.dialect import BackendMetadata, CallDialect
 from papayalock.httpclient import (
     ClientConn,
-    Headers,
     Request,
     Response,
     TransportError,
 )
 from papayalock.messages import Announcement, HopOrder
-from papayalock.node.backendnotices import (
-    NOTICE_HEADER,
-    BackendNotices,
-    notice_headers,
-)
+from papayalock.node.backendnotices import NOTICE_HEADER, BackendNotices
 from papayalock.node.crashreports import (
     EXCHANGE_HEADER,
     REPORT_HEADER,
     CrashReports,
 )
 from papayalock.node.crashwatch import CrashWatch
-from papayalock.node.hopheaders import LOADS, ORDERS, HeaderError, is_short
+from papayalock.node.hopheaders import ORDERS, HeaderError, is_short
+from papayalock.node.hopreplies import (
+    ARRIVED_HEADER,
+    CALLEE_FAILED_HEADER,
+    TOOK_HEADER,
+    HopReplies,
+)
 from papayalock.node.http import OUTCOME_HEADER, Call, Reply
-from papayalock.node.keepalive import KeepaliveSender
 from papayalock.node.lag import LoopLag
 from papayalock.node.outcome import (
     SERVER_ERROR,
@@ -49,11 +49,7 @@
 
 MS_PER_S = 1000
 ORDER_HEADER = b'papayalock-order'
-ARRIVED_HEADER = b'papayalock-arrived'
-TOOK_HEADER = b'papayalock-took'
-CALLEE_FAILED_HEADER = b'papayalock-callee-failed'
 MAX_RESPONSE_BYTES = 16_777_216  # larger responses are not forwarded
-SERVICE_UNAVAILABLE = 503
 # Time after its deadline in which a server may still complete its response.
 LAST_RESPONSE_S = 0.25
 # Event loop lag from which on a caller may have cancelled its call unnoticed.
@@ -102,7 +98,6 @@
         self._pool = pool
         self._dialect = dialect
         self._clock = clock
-        self._alive_ms = alive_ms
         self._lag = lag
         self.callee_failures = 0
         self.is_key_removed = _never_removed
@@ -114,6 +109,9 @@
         self._crash_watch = CrashWatch(crash_reports, monitor, pool, clock)
         self.notices = BackendNotices(monitor, dialect, clock)
         self.notices.on_limit_changed.append(self.update_slots)
+        self._replies = HopReplies(
+            gate, self.notices, crash_reports, clock, alive_ms
+        )
 
     def update_slots(self) -> None:
         """Applies the slots and the rate limit that the server stated last.
@@ -156,36 +154,11 @@
             return
         self.notices.adopt(call)
         began = self._clock.monotonic()
-        with KeepaliveSender(reply, self._alive_ms):
+        with self._replies.keepalives(reply):
             await self._process_disconnects()
             outcome = await self.run(order, call)
-        took_ms = (self._clock.monotonic() - began) * MS_PER_S
-        short = is_short(call.header(ORDER_HEADER))
-        state = self._state_headers(order, short=short)
-        state.append((TOOK_HEADER, b'%d' % took_ms))
-        if isinstance(outcome, ServerResponse):
-            headers = [*outcome.headers, *state, (OUTCOME_HEADER, b'0 DONE')]
-            if outcome.callee_failed:
-                headers.append((CALLEE_FAILED_HEADER, b'1'))
-            reply.send(outcome.status, headers, outcome.body)
-            return
-        code = outcome.code
-        headers = [
-            *state,
-            (OUTCOME_HEADER, b'%d %s' % (code.value, code.name.encode())),
-            (ARRIVED_HEADER, b'%d' % outcome.arrived),
-            (b'retry-after', b'%d' % outcome.retry_after_ms),
-        ]
-        reply.send(SERVICE_UNAVAILABLE, headers, outcome.reason.encode())
-
-    def _state_headers(self, order: HopOrder, *, short: bool) -> Headers:
-        """Returns the headers that tell other nodes the server's state.
-
-        :param short: whether the calling node reads the short form
-        """
-        load = (LOAD_HEADER, LOADS.encode(self._gate.load(), short=short))
-        notice = notice_headers(self.notices.current)
-        return [load, *notice, *self._crash_reports.headers(order.request)]
+            short = is_short(call.header(ORDER_HEADER))
+            await self._replies.send(order, outcome, began, reply, short=short)
 
     async def _process_disconnects(self) -> None:
         """Lets the loop read pending disconnects after it stalled.
--- a/papayalock/node/listener.py
+++ b/papayalock/node/listener.py
@@ -8,6 +8,7 @@
 import httptools
 
 from papayalock.core.framing import FramingLimit
+from papayalock.httpclient import OnWritten, ignore_written
 from papayalock.node.http import Call, Reply
 from papayalock.result import Code
 
@@ -60,6 +61,7 @@
         """
         self.handler = handler
         self.limits = limits
+        self.on_written: OnWritten = ignore_written
         self.stopping = False
         self.conns: set[ServerConn] = set()
 
@@ -190,6 +192,7 @@
     def write(self, data: bytes) -> None:
         """Writes, unless the connection is closed."""
         if self.transport is not None and not self.transport.is_closing():
+            self._server.on_written(len(data))
             self.transport.write(data)
 
     async def wait_writable(self) -> None:
--- a/papayalock/node/tryrunner.py
+++ b/papayalock/node/tryrunner.py
@@ -24,13 +24,15 @@
 from papayalock.node.crashreports import REPORT_HEADER, CrashReports
 from papayalock.node.hopheaders import LOADS, ORDERS
 from papayalock.node.http import OUTCOME_HEADER
-from papayalock.node.inbound import (
+from papayalock.node.hopreplies import (
     ARRIVED_HEADER,
     CALLEE_FAILED_HEADER,
+    TOOK_HEADER,
+)
+from papayalock.node.inbound import (
     MAX_RESPONSE_BYTES,
     NOT_FORWARDED,
     ORDER_HEADER,
-    TOOK_HEADER,
     InboundProxy,
 )
 from papayalock.node.outcome import (
--- a/papayalock/pool.py
+++ b/papayalock/pool.py
@@ -5,12 +5,22 @@
 import functools
 
 from papayalock.core.buffers import BufferPool
-from papayalock.httpclient import MS_PER_S, ClientConn, Request, TransportError
+from papayalock.httpclient import (
+    MS_PER_S,
+    ClientConn,
+    OnWritten,
+    Request,
+    TransportError,
+    ignore_written,
+)
 from papayalock.result import Code
 
 
 async def connect(
-    address: str, timeout_ms: int, buffers: BufferPool | None = None
+    address: str,
+    timeout_ms: int,
+    buffers: BufferPool | None = None,
+    on_written: OnWritten = ignore_written,
 ) -> ClientConn:
     """Opens a connection.
 
@@ -24,7 +34,9 @@
     try:
         async with asyncio.timeout(timeout_ms / MS_PER_S):
             _, conn = await loop.create_connection(
-                functools.partial(ClientConn, buffers), host, int(port)
+                functools.partial(ClientConn, buffers, on_written),
+                host,
+                int(port),
             )
     except (OSError, TimeoutError, ValueError) as exc:
         reason = f'{address}: {type(exc).__name__} {exc}'.rstrip()
@@ -49,6 +61,7 @@
         :param per_address: maximum number of idle connections per address
         :param buffers: memory that the bodies of responses share
         """
+        self.on_written: OnWritten = ignore_written
         self._buffers = buffers
         self._connect_ms = connect_ms
         self._idle_s = idle_ms / MS_PER_S
@@ -69,7 +82,9 @@
             if conn.reusable and now - conn.idle_since < self._idle_s:
                 return conn
             conn.close()
-        return await connect(address, self._connect_ms, self._buffers)
+        return await connect(
+            address, self._connect_ms, self._buffers, self.on_written
+        )
 
     def release(self, address: str, conn: ClientConn) -> None:
         """Returns a connection to the pool, or closes it if not reusable."""
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -197,6 +197,14 @@
     silence_ms: Annotated[int, Meta(ge=20, le=600000)]
     connect_ms: Annotated[int, Meta(ge=10, le=60000)]
     candidates: Annotated[int, Meta(ge=1, le=64)]
+    link_mbps: Annotated[
+        float,
+        Meta(
+            description="Rate of the VM's own link in Mbit/s, at which large responses are sent; 0 if it is not known.",
+            ge=0.0,
+            le=1000000.0,
+        ),
+    ]
     buffer_bytes: Annotated[
         int,
         Meta(
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -38,7 +38,9 @@
 ]
 
 
-SECTION = re.compile(r'\{\{#(bounds\..+?)\}\}(.*?)\{\{/\1\}\}', re.DOTALL)
+SECTION = re.compile(
+    r'\{\{#((?:bounds|limits)\..+?)\}\}(.*?)\{\{/\1\}\}', re.DOTALL
+)
 
 
 def render(template: str, values: dict[str, str]) -> str:
@@ -66,6 +68,16 @@
         settings = load_settings(path)
         assert settings.control.addresses == SEEDS
 
+    @pytest.mark.parametrize('mbps', [None, 5.5, 1000.0])
+    def test_nodes_know_the_rate_of_their_link_where_it_is_told(
+        self, tmp_path, mbps
+    ):
+        template = (DEPLOY / 'node.toml.in').read_text()
+        path = tmp_path / 'node.toml'
+        overrides = {'limits.link_mbps|json': str(mbps)} if mbps else {}
+        path.write_text(render(template, {**VALUES, **overrides}))
+        assert load_settings(path).hosts.link_mbps == (mbps or 0)
+
     @pytest.mark.parametrize('share', [None, 0.1])
     def test_rollouts_are_on_where_the_deployment_bounds_exposure(
         self, tmp_path, share
--- a/test/test_fulllink.py
+++ b/test/test_fulllink.py
@@ -140,6 +140,9 @@
         self.server = HttpServer(
             self.inbound.handle, ServerLimits(65536, 65536, 4096)
         )
+        self.server.on_written = lambda size: self.gate.link.budget.charge(
+            size, clock.monotonic()
+        )
         self.agent = HostAgent(
             'n',
             'a',
@@ -230,3 +233,46 @@
 
         play(under_load(10.0, publish))
         assert max(late) < APPLY_S
+
+
+class TestCallersOfLargeResponses:
+    """The same load: what the callers get, and how long it takes."""
+
+    def test_refused_callers_know_at_once_and_the_others_are_served(self):
+        node = play(under_load(10.0))
+        served = [took for result, took in node.outcomes if result[:1] == '0']
+        refused = [took for result, took in node.outcomes if 'SHED' in result]
+        assert len(served) + len(refused) == len(node.outcomes)
+        assert max(refused) < 0.1
+        assert max(served) < DEADLINE_MS / 1000
+        in_time = [took for took in served if took < TARGET_MS / 1000]
+        capacity = 10.0 * LINK_BYTES_PER_S / LARGE_BYTES
+        assert len(in_time) > 0.7 * capacity
+
+    def test_the_archive_runs_nothing_whose_response_is_not_sent(self):
+        node = play(under_load(10.0))
+        served = sum(result[:1] == '0' for result in node.results())
+        assert node.archive.completed == served
+
+    def test_short_responses_do_not_wait_behind_large_ones(self):
+        took: list[float] = []
+
+        async def short_calls(node: ArchiveNode) -> None:
+            loop = asyncio.get_running_loop()
+            for _ in range(20):
+                await asyncio.sleep(0.4)
+                began = loop.time()
+                assert await node.call_to_deadline(b'/short') == '0 DONE'
+                took.append(loop.time() - began - SERVICE_S)
+
+        play(under_load(9.0, short_calls))
+        assert max(took) < TARGET_MS / 1000
+        assert sorted(took)[len(took) // 2] < SERVICE_S
+
+    def test_without_large_responses_nothing_is_refused(self):
+        async def calm() -> ArchiveNode:
+            node = ArchiveNode()
+            await node.load(30.0, 5.0, b'/short')
+            return node
+
+        assert set(play(calm()).results()) == {'0 DONE'}
