Say 503 instead of 404 for a missing route while out of touch

What callers saw: 404 for a route that had been acknowledged, from a node that was late; a caller that gets 404 does not come back.

Cause: the node answered NO_ROUTE as soon as its own table had no match, whatever its age; the refusal of an unknown key asked for the last contact already, the missing route did not.

Change: 118 ROUTES_OUTDATED (503, not run, with a Retry-After) once the last answer of a control VM under lease is older than 0.6 of the time in which a version has to reach all nodes (distribution.reach_ms, told by the platform). ContactTrust is shared with the check of keys. The checks before a server is chosen moved from the outbound proxy to node/callchecks.py.

Evidence: test_a_node_out_of_touch_does_not_deny_a_newer_route (three cases) fails on the code before, as it answers NO_ROUTE there; test_it_is_missing_only_for_a_node_in_touch. Calls that a known route matches go on as before, also out of touch.

--- a/papayalock/core/customers.py
+++ b/papayalock/core/customers.py
@@ -7,14 +7,12 @@
 import hashlib
 import hmac
 
+from papayalock.core.contact import ContactTrust
 from papayalock.messages import Customer
 
 DIGEST_BYTES = 16
 PERSON = b'papayalock-key'
 MAX_REMOVED = 4096  # digests of removed keys that are remembered
-MS_PER_S = 1000
-# A control VM answers a poll with what it held some time before.
-TRUST_SHARE = 0.6  # of the time in which a removal has to reach all nodes
 
 
 def key_digest(key: str, secret: bytes) -> str:
@@ -96,7 +94,7 @@
     since.
     """
 
-    __slots__ = ('_fail_closed', '_trust_s', '_trusted_until')
+    __slots__ = ('_contact', '_fail_closed')
 
     def __init__(self, *, fail_closed: bool, revoke_ms: int) -> None:
         """Starts without trust.
@@ -106,13 +104,12 @@
             admit it
         """
         self._fail_closed = fail_closed
-        self._trust_s = revoke_ms * TRUST_SHARE / MS_PER_S
-        self._trusted_until = float('-inf')
+        self._contact = ContactTrust(revoke_ms)
 
     def record_contact(self, now: float) -> None:
         """Records the answer of a control VM under lease."""
-        self._trusted_until = now + self._trust_s
+        self._contact.record_contact(now)
 
     def is_outdated(self, now: float) -> bool:
         """Whether calls that need a key have to be refused."""
-        return self._fail_closed and now >= self._trusted_until
+        return self._fail_closed and not self._contact.is_current(now)
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -166,9 +166,7 @@
         if hosts.link_mbps:
             self._count_sent_bytes(pools)
         self.agent.on_changed.append(self._apply_changes)
-        self.agent.on_leased_contact.append(
-            self.outbound.key_check.record_contact
-        )
+        self.agent.on_leased_contact.append(self.outbound.checks.record_contact)
         self.inbound.notices.on_leaving.append(self.agent.backend_changed)
 
     @property
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -2,7 +2,6 @@
 
 from papayalock.core.budget import SharedBudget
 from papayalock.core.crashes import request_digest
-from papayalock.core.customers import KeyCheck, key_digest
 from papayalock.core.hedging import (
     FREE_SLOT_SEARCH_SHARE,
     CallProgress,
@@ -13,8 +12,9 @@
 from papayalock.core.refusals import RefusedCall, RefusedCalls
 from papayalock.core.shutdowntimes import RETRY_AFTER_MS, ShutdownTimes
 from papayalock.dialect import CallDialect
-from papayalock.messages import Customer, HostRoute
+from papayalock.messages import HostRoute
 from papayalock.node.accesslog import AccessLog, RoutedCall
+from papayalock.node.callchecks import CallChecks
 from papayalock.node.crashreports import CrashReports
 from papayalock.node.hedge import HedgedCall
 from papayalock.node.hostagent import HostAgent
@@ -30,8 +30,6 @@
 from papayalock.settings import Settings
 
 MS_PER_S = 1000
-# Retry-after delay of a node that has just started and has no routes yet.
-NO_ROUTES_RETRY_AFTER_MS = 800
 
 
 class OutboundProxy:
@@ -60,10 +58,7 @@
         self.try_runner = TryRunner(
             settings, agent.placement, inbound, pool, clock, crash_reports
         )
-        self.key_check = KeyCheck(
-            fail_closed=settings.customers.fail_closed,
-            revoke_ms=settings.customers.revoke_ms,
-        )
+        self.checks = CallChecks(settings, agent, dialect, clock)
         self._digest_key = settings.hosts.digest_key.encode()
         self._dialect = dialect
         self._clock = clock
@@ -115,48 +110,24 @@
         return outcome
 
     def _route_call(self, call: Call) -> RoutedCall | NoResponse:
-        if not self._agent.configuration.version:
-            return NoResponse(
-                Code.NOT_CONFIGURED, 'no routes yet', NO_ROUTES_RETRY_AFTER_MS
-            )
+        unconfigured = self.checks.refuse_unconfigured()
+        if unconfigured is not None:
+            return unconfigured
         host = call.header(b'host').decode('latin-1').lower()
         path = call.target.split(b'?', 1)[0].decode('latin-1')
         route = self._agent.host_table.match(host.split(':')[0], path)
         if route is None:
-            return NoResponse(Code.NO_ROUTE, f'no route for {host}{path}')
+            return self.checks.refuse_unrouted(f'{host}{path}')
         routed = self._apply_route(call, route)
-        if self._agent.host_table.customers.customers:
-            routed.call = self._without_api_key(call)
-            routed.customer = self._find_customer(routed)
-            refusal = None if route.public else self._check_key(routed)
-            if refusal is not None:
-                return refusal
+        refusal = self.checks.identify_customer(routed)
+        if refusal is not None:
+            return refusal
         if self._shutdown_times.refuses_local(
             routed.deadline_at, routed.arrived_at
         ):
             return NoResponse(Code.DRAINING, 'the node stops', RETRY_AFTER_MS)
         return routed
 
-    def _find_customer(self, routed: RoutedCall) -> Customer | None:
-        """Returns the customer whose API key a call has, or None."""
-        routed.key = key_digest(routed.metadata.api_key, self._digest_key)
-        return self._agent.host_table.customers.find(routed.key)
-
-    def _check_key(self, routed: RoutedCall) -> NoResponse | None:
-        """Returns why a call that needs an API key is refused, if it is."""
-        if self.key_check.is_outdated(routed.arrived_at):
-            return NoResponse(
-                Code.KEYS_OUTDATED, 'out of touch', NO_ROUTES_RETRY_AFTER_MS
-            )
-        if routed.customer is None:
-            return NoResponse(Code.UNKNOWN_API_KEY, 'unknown API key')
-        return None
-
-    def _without_api_key(self, call: Call) -> Call:
-        """Returns a call whose API key does not leave this node."""
-        headers = self._dialect.without_api_key(call.headers)
-        return Call(call.method, call.target, headers, call.body)
-
     def _apply_route(self, call: Call, route: HostRoute) -> RoutedCall:
         now = self._clock.monotonic()
         metadata = self._dialect.read_metadata(call)
--- a/papayalock/result.py
+++ b/papayalock/result.py
@@ -26,6 +26,7 @@
     QUARANTINED = 115
     UNKNOWN_API_KEY = 116
     KEYS_OUTDATED = 117
+    ROUTES_OUTDATED = 118
     # Calls: the request may have run.
     UNKNOWN_TIMEOUT = 200
     UNKNOWN_BROKEN = 201
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -73,6 +73,14 @@
         Literal['zone', 'any'],
         Meta(description='Control VMs from which a node accepts versions.'),
     ]
+    reach_ms: Annotated[
+        int,
+        Meta(
+            description='Time in which an accepted version has to reach all nodes.',
+            ge=100,
+            le=600000,
+        ),
+    ]
     margin_ms: Annotated[int, Meta(ge=10, le=60000)]
 
 
--- a/test/test_customers.py
+++ b/test/test_customers.py
@@ -222,7 +222,7 @@
             caller = Caller(nodes)
             caller.agent.host_table = HostRouteTable(store.parts())
             if settings:
-                caller.outbound.key_check = KeyCheck(**settings)
+                caller.outbound.checks.key_check = KeyCheck(**settings)
             return await caller.outbound._run(call)
 
         with asyncio.Runner(loop_factory=FastLoop) as runner:
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -21,6 +21,7 @@
     'service': 'fihu50a',
     'data_dir': '/data',
     'bootstrap|json': 'true',
+    'bounds.config_apply': '2000ms',
     'bounds.drain': '2000ms',
     'bounds.grace': '6s',
     'bounds.budget_window': '10s',
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import pytest
+
 from papayalock.config import make_settings
 from papayalock.core.exposure import Exposure
 from papayalock.core.placement import Placement
@@ -405,3 +407,31 @@
         returning = self.orders((0, 900), (0.1, 760), answer=FAILED)[-1]
         assert returning.returning
         assert 340 <= returning.target_ms <= 390
+
+
+class TestMissingRoute:
+    """A caller that is told that there is no route does not come back."""
+
+    def call_elsewhere(self, *, contact_s_ago: float | None):
+        async def run():
+            caller = Caller(FarNodes())
+            now = asyncio.get_running_loop().time()
+            if contact_s_ago is not None:
+                caller.outbound.checks.record_contact(now - contact_s_ago)
+            headers = [(b'host', b'a.example'), (CALL_HEADER, b'c')]
+            return await caller.outbound._run(Call(b'GET', b'/new/', headers))
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            return runner.run(run())
+
+    def test_it_is_missing_only_for_a_node_in_touch(self):
+        assert self.call_elsewhere(contact_s_ago=0.5).code == Code.NO_ROUTE
+
+    @pytest.mark.parametrize('contact_s_ago', [None, 10.9, 60.0])
+    def test_a_node_out_of_touch_does_not_deny_a_newer_route(
+        self, contact_s_ago
+    ):
+        outcome = self.call_elsewhere(contact_s_ago=contact_s_ago)
+        assert outcome.code == Code.ROUTES_OUTDATED
+        assert outcome.code.not_run
+        assert outcome.retry_after_ms > 0
