Quotas of customers, granted by the leader of the log, kept through failures

The control VM that leads the log keeps a token bucket for each customer (core/quota, control/quotaservice); nodes ask it for the calls that wait and use tokens at once (node/quotaclient); a call that was surely not run gives its token back. Out of contact a node uses an equal share (core/quotashare), which the owner keeps back: it counts a node only until contact_ms after it sent the newest response that the node acknowledged, the node counts from the receipt, so lost, late or crossed messages never give a share twice. A restarted node holds nothing; another owner starts empty and waits out its predecessor. A node that got too few tokens is told when to ask again, so a hot customer costs the owner about its rate in requests. 119 OVER_QUOTA (429) with the time until more tokens come, 120 QUOTA_OWNER_LOST (503). On where quotas.port is set, which the template does where the deployment bounds quotas. Checked before: an owner for each customer by rendezvous hashing; two nodes with different members would own a customer twice.

First forms that the tests caught: a share divided by hash alone (70 calls in a window of 66), a bucket of a quiet customer that began empty at its first call.

--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -24,8 +24,10 @@
 from papayalock.control.httpprotocol import LimitedHttpProtocol
 from papayalock.control.group import RaftGroup, StateMachine
 from papayalock.control.identity import Identity, load_or_create_identity
+from papayalock.control import listeners
 from papayalock.control.membermanager import MemberManager
 from papayalock.control.peertransport import PeerTransport
+from papayalock.control.quotaservice import QuotaService
 from papayalock.control.rolloutapi import RolloutApi
 from papayalock.control.rolloutmanager import RolloutManager
 from papayalock.control.server import ControlServer
@@ -43,7 +45,6 @@
 from papayalock.dialect import OperatorDialect
 from papayalock.messages import JoinReq, Member
 from papayalock.node.http import Call, Reply
-from papayalock.node.listener import HttpServer, ServerLimits
 from papayalock.pool import Pool
 from papayalock.reload import SettingsWatcher
 from papayalock.settings import Settings
@@ -56,8 +57,10 @@
 EPOCH_BYTES = 6
 MS_PER_S = 1000
 OK = 200
-MAX_SCRAPE_BYTES = 8192  # of the request header, and of its body
+MAX_SCRAPE_BYTES = 8192  # of the body of a request
 MAX_SCRAPE_CONNECTIONS = 16
+MAX_QUOTA_BYTES = 1_048_576  # of a request for tokens
+MAX_QUOTA_CONNECTIONS = 3000
 METRICS_CONTENT_TYPE = (b'content-type', b'text/plain; version=0.0.4')
 STOP_TIMEOUT_S = 1  # longest wait for pending long polls at a planned stop
 
@@ -137,6 +140,13 @@
             self._clock,
             settings.rollouts.exposure_share,
         )
+        self.quotas = QuotaService(
+            self.groups[CONFIG_GROUP],
+            ledger,
+            distributor.table,
+            self._clock,
+            settings,
+        )
         self.server = ControlServer(
             self.coordinator,
             StatusReader(self.coordinator, settings.zone),
@@ -165,10 +175,10 @@
             http=LimitedHttpProtocol,
         )
         self._http_server = uvicorn.Server(cfg)
-        metrics_server = await self._serve_metrics(host)
+        servers = await self._listen(host)
         await self._http_server.serve()
-        if metrics_server is not None:
-            metrics_server.close()
+        for server in servers:
+            server.close()
         for task in tasks:
             task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
@@ -183,6 +193,8 @@
         work += [self.coordinator.run(), self.journal.run()]
         if self._settings.rollouts.exposure_share:
             work.append(self.rollouts.run())
+        if self._settings.quotas.port:
+            work.append(self.quotas.run())
         if self._settings.control.auto_members:
             work.append(self.member_manager.run())
         tasks = [asyncio.create_task(coroutine) for coroutine in work]
@@ -190,16 +202,24 @@
             task.add_done_callback(self._on_task_done)
         return tasks
 
-    async def _serve_metrics(self, host: str) -> asyncio.Server | None:
-        port = self._settings.metrics.port
-        if not port:
-            return None
-        limits = ServerLimits(
-            MAX_SCRAPE_BYTES, MAX_SCRAPE_BYTES, MAX_SCRAPE_CONNECTIONS
+    async def _listen(self, host: str) -> list[asyncio.Server]:
+        """Serves the metrics and the quotas, as far as they are on."""
+        settings = self._settings
+        return await listeners.listen(
+            host,
+            listeners.Binding(
+                settings.metrics.port,
+                self._scrape,
+                MAX_SCRAPE_BYTES,
+                MAX_SCRAPE_CONNECTIONS,
+            ),
+            listeners.Binding(
+                settings.quotas.port,
+                self.quotas.handle,
+                MAX_QUOTA_BYTES,
+                MAX_QUOTA_CONNECTIONS,
+            ),
         )
-        server = HttpServer(self._scrape, limits)
-        loop = asyncio.get_running_loop()
-        return await loop.create_server(server.make_conn, host, port)
 
     async def _scrape(self, call: Call, reply: Reply) -> None:
         reply.send(OK, [METRICS_CONTENT_TYPE], self.server.metrics())
--- a/papayalock/core/controlselector.py
+++ b/papayalock/core/controlselector.py
@@ -43,6 +43,11 @@
         """The number of known control VMs."""
         return len(self._zones)
 
+    @property
+    def addresses(self) -> list[str]:
+        """The known control VMs."""
+        return list(self._zones)
+
     def choose(self, now: float) -> str:
         """Returns the address of the control VM to poll next."""
         preferences = [
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -378,6 +378,95 @@
     ] = 0.0
 
 
+WantsAdditionalProperty: TypeAlias = Annotated[int, Meta(ge=0)]
+
+
+ReturnedAdditionalProperty: TypeAlias = Annotated[int, Meta(ge=0)]
+
+
+class QuotaReq(Struct):
+    """
+    A node's request for tokens of customers, which also keeps it in contact.
+    """
+
+    node: Annotated[
+        str,
+        Meta(
+            description='Address under which other nodes reach the node.',
+            max_length=64,
+            min_length=1,
+        ),
+    ]
+    boot_ms: Annotated[
+        int,
+        Meta(
+            description="Start of the node's process; a new process holds no contact."
+        ),
+    ]
+    sequence: Annotated[
+        int, Meta(description='Grows with each request of the process.', ge=0)
+    ]
+    term: Annotated[
+        int, Meta(description='Term of the owner whose response was the last.', ge=0)
+    ] = 0
+    answered: Annotated[
+        int,
+        Meta(
+            description='Sequence of the request that this response answered; 0 before any.',
+            ge=0,
+        ),
+    ] = 0
+    wants: Annotated[
+        dict[str, WantsAdditionalProperty],
+        Meta(description='Tokens wanted, by customer.'),
+    ] = field(default_factory=dict)
+    returned: Annotated[
+        dict[str, ReturnedAdditionalProperty],
+        Meta(description='Tokens of this term whose calls were not run, by customer.'),
+    ] = field(default_factory=dict)
+    leaving: Annotated[
+        bool, Meta(description='Whether the node stops; its share goes to the others.')
+    ] = False
+
+
+GrantedAdditionalProperty: TypeAlias = Annotated[int, Meta(ge=0)]
+
+
+WaitMsAdditionalProperty: TypeAlias = Annotated[int, Meta(ge=0)]
+
+
+class QuotaRes(Struct):
+    """
+    The tokens that the owner grants; a token is used at once or lost.
+    """
+
+    code: int
+    leader: Annotated[
+        str, Meta(description='Address of the control VM to ask instead, if known.')
+    ] = ''
+    term: Annotated[int, Meta(ge=0)] = 0
+    nodes: Annotated[
+        int,
+        Meta(
+            description="Nodes among which a customer's rate is divided while the owner is out of reach.",
+            ge=0,
+        ),
+    ] = 0
+    position: Annotated[
+        int, Meta(description='Place of the node among them, from 0.', ge=0)
+    ] = 0
+    granted: Annotated[
+        dict[str, GrantedAdditionalProperty],
+        Meta(description='Tokens granted, by customer.'),
+    ] = field(default_factory=dict)
+    wait_ms: Annotated[
+        dict[str, WaitMsAdditionalProperty],
+        Meta(
+            description='Time until more may be asked for, by customer that got less than it wanted.'
+        ),
+    ] = field(default_factory=dict)
+
+
 class CallerLimits(Struct):
     """
     Limits on the size and the duration of requests from callers.
--- a/papayalock/node/agent.py
+++ b/papayalock/node/agent.py
@@ -122,7 +122,7 @@
         self._own_address = own_address
         self._addresses = list(addresses)
         self._endpoint_store = endpoint_store
-        self._pool = pool
+        self.pool = pool
         self._clock = clock
         self._rng = rng
         self._poll_ms = poll_ms
@@ -244,7 +244,7 @@
             b'POST', '/v1/sync', address, msgspec.json.encode(sync_req)
         )
         try:
-            status, body = await self._pool.exchange(
+            status, body = await self.pool.exchange(
                 address,
                 req,
                 wait_ms + self._margin_ms,
@@ -261,7 +261,7 @@
         except (TransportError, msgspec.MsgspecError, ValueError) as exc:
             version = self.configuration.version
             self.polls.record_failure(address, exc, version)
-            self._pool.close_idle(address)
+            self.pool.close_idle(address)
             await self._handle_poll_failure()
             return
         self.polls.record_answer(address)
--- a/papayalock/node/hostagent.py
+++ b/papayalock/node/hostagent.py
@@ -82,7 +82,7 @@
         self.stopping = False
         self.backend_monitor = backend_monitor
         self.placement = placement
-        self._control_selector = control_selector
+        self.control_selector = control_selector
         self._polled_address = ''
         self._unproven_refusals = 0  # since the last poll that was answered
         self._backend_was_lost = True
@@ -128,21 +128,21 @@
     # Overridden steps of the polling task.
 
     def _next_address(self) -> str:
-        self._polled_address = self._control_selector.choose(
+        self._polled_address = self.control_selector.choose(
             self._clock.monotonic()
         )
         return self._polled_address
 
     async def _handle_poll_failure(self) -> None:
         self.errors += 1
-        self._control_selector.record_failure(
+        self.control_selector.record_failure(
             self._polled_address, self._clock.monotonic()
         )
         await asyncio.sleep(self._backoff_s * self._rng.random())
 
     async def _handle_response(self, sync_req: SyncReq, res: SyncRes) -> None:
         now = self._clock.monotonic()
-        self._control_selector.record_response(
+        self.control_selector.record_response(
             self._polled_address, res.zone, res.peers
         )
         if res.leased:
@@ -150,7 +150,7 @@
             for listener in self.on_leased_contact:
                 listener(now)
         else:
-            self._control_selector.record_failure(self._polled_address, now)
+            self.control_selector.record_failure(self._polled_address, now)
         self._reported_revision = max(
             self._reported_revision, self._sent_revision
         )
@@ -165,7 +165,7 @@
             self._unproven_refusals = 0
             return
         self._unproven_refusals += res.code == Code.NOT_PROVABLY_NEWEST
-        self._control_selector.record_failure(self._polled_address, now)
+        self.control_selector.record_failure(self._polled_address, now)
         await asyncio.sleep(res.retry_after_ms / 1000)
 
     def _index_routes(self, delta: Delta) -> None:
@@ -211,7 +211,7 @@
         req = super()._request(wait_ms)
         # Without a quorum in reach, every control VM refuses a node that has
         # no configuration. An unproven version is then better than none.
-        min_refused = max(MIN_REFUSED_POLLS, self._control_selector.count)
+        min_refused = max(MIN_REFUSED_POLLS, self.control_selector.count)
         no_quorum = self._unproven_refusals >= min_refused
         if self.read_evidence is not None:
             req.evidence = self.read_evidence()
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -188,6 +188,8 @@
             asyncio.create_task(self.finder.run()),
             asyncio.create_task(self.crashes.gossip.run()),
         ]
+        if self.outbound.quotas.enabled:
+            tasks.append(asyncio.create_task(self.outbound.quotas.run()))
         for task in tasks:
             task.add_done_callback(_log_task_failure)
         log.info('node started', extra={'listen': self.settings.listen})
--- a/papayalock/node/http.py
+++ b/papayalock/node/http.py
@@ -162,6 +162,7 @@
     Code.KEY_MISSING: 400,
     Code.KEY_REUSED: 422,
     Code.SHED: 429,
+    Code.OVER_QUOTA: 429,
 }
 
 
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -8,7 +8,6 @@
     SlotSearch,
 )
 from papayalock.core.hostroutes import TrafficSplitter
-from papayalock.core.placement import Placement
 from papayalock.core.refusals import RefusedCall, RefusedCalls
 from papayalock.core.shutdowntimes import RETRY_AFTER_MS, ShutdownTimes
 from papayalock.dialect import CallDialect
@@ -23,6 +22,7 @@
 from papayalock.node.inbound import InboundProxy
 from papayalock.node.lag import LoopLag
 from papayalock.node.outcome import NoResponse, Outcome, ServerResponse
+from papayalock.node.quotaclient import QuotaClient
 from papayalock.node.tryrunner import TryRunner
 from papayalock.pool import Pool
 from papayalock.ports import Clock, Random
@@ -53,12 +53,19 @@
         self._settings = settings
         self._shutdown_times = shutdown_times
         self._agent = agent
-        self._placement: Placement = agent.placement
+        self._placement = agent.placement
         self._inbound = inbound
         self.try_runner = TryRunner(
             settings, agent.placement, inbound, pool, clock, crash_reports
         )
         self.checks = CallChecks(settings, agent, dialect, clock)
+        self.quotas = QuotaClient(
+            settings,
+            agent.control_selector,
+            agent.pool,
+            clock,
+            agent.incarnation,
+        )
         self._digest_key = settings.hosts.digest_key.encode()
         self._dialect = dialect
         self._clock = clock
@@ -95,8 +102,9 @@
             )
             return routed
         budget = self._budget(routed.service)
-        budget.record_call(self._clock.monotonic())
-        outcome = await self._run_to_deadline(routed, budget)
+        outcome = await self.quotas.run_call(
+            routed.customer, lambda: self._run_routed(routed, budget)
+        )
         self._access_log.log_ended(routed, outcome, budget)
         if isinstance(outcome, NoResponse) or outcome.failed:
             self._inbound.callee_failures += 1
@@ -109,6 +117,12 @@
             )
         return outcome
 
+    async def _run_routed(
+        self, routed: RoutedCall, budget: SharedBudget
+    ) -> Outcome:
+        budget.record_call(self._clock.monotonic())
+        return await self._run_to_deadline(routed, budget)
+
     def _route_call(self, call: Call) -> RoutedCall | NoResponse:
         unconfigured = self.checks.refuse_unconfigured()
         if unconfigured is not None:
--- a/papayalock/node/shutdown.py
+++ b/papayalock/node/shutdown.py
@@ -101,4 +101,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(DEPARTURE_REPORT_TIMEOUT_S):
-                await self._agent.report_departure()
+                await asyncio.gather(
+                    self._agent.report_departure(),
+                    self._outbound.quotas.leave(),
+                )
--- a/papayalock/result.py
+++ b/papayalock/result.py
@@ -27,6 +27,8 @@
     UNKNOWN_API_KEY = 116
     KEYS_OUTDATED = 117
     ROUTES_OUTDATED = 118
+    OVER_QUOTA = 119
+    QUOTA_OWNER_LOST = 120
     # Calls: the request may have run.
     UNKNOWN_TIMEOUT = 200
     UNKNOWN_BROKEN = 201
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -238,6 +238,37 @@
     ]
 
 
+class QuotaSettings(Struct):
+    """
+    Quotas of customers.
+    """
+
+    port: Annotated[
+        int,
+        Meta(
+            description='Port of control VMs that grants tokens; the same on nodes and control VMs; 0 turns quotas off.',
+            ge=0,
+            le=65535,
+        ),
+    ]
+    contact_ms: Annotated[
+        int,
+        Meta(
+            description='Time after the last answer of the owner from which on a node uses its own share.',
+            ge=100,
+            le=60000,
+        ),
+    ]
+    renew_ms: Annotated[
+        int,
+        Meta(
+            description='Longest time between two requests of a node to the owner.',
+            ge=10,
+            le=30000,
+        ),
+    ]
+
+
 class CustomerSettings(Struct):
     """
     Customers and their API keys.
@@ -300,4 +331,5 @@
     hosts: HostSettings
     rollouts: RolloutSettings
     customers: CustomerSettings
+    quotas: QuotaSettings
     metrics: MetricsSettings
--- a/test/hostmesh.py
+++ b/test/hostmesh.py
@@ -140,6 +140,10 @@
 class FakeAgent:
     """The parts of the agent that a call uses."""
 
+    control_selector = None
+    pool = None
+    incarnation = 7
+
     class configuration:
         version = 1
 
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -17,6 +17,7 @@
     'listen.ready': '10.1.0.2:3',
     'listen.control': '10.1.0.2:4',
     'heartbeat_interval': '500ms',
+    'internal_ports.0': '7660',
     'app_address': '10.1.0.2:9',
     'service': 'fihu50a',
     'data_dir': '/data',
@@ -79,6 +80,17 @@
         path.write_text(render(template, {**VALUES, **overrides}))
         assert load_settings(path).hosts.link_mbps == (mbps or 0)
 
+    @pytest.mark.parametrize('window', [None, '5s'])
+    @pytest.mark.parametrize('name', ['node', 'control'])
+    def test_quotas_are_on_where_the_deployment_bounds_them(
+        self, tmp_path, name, window
+    ):
+        template = (DEPLOY / f'{name}.toml.in').read_text()
+        path = tmp_path / f'{name}.toml'
+        overrides = {'bounds.quota_window|json': window} if window else {}
+        path.write_text(render(template, {**VALUES, **overrides}))
+        assert load_settings(path).quotas.port == (7660 if window else 0)
+
     @pytest.mark.parametrize('share', [None, 0.1])
     def test_rollouts_are_on_where_the_deployment_bounds_exposure(
         self, tmp_path, share
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -106,6 +106,10 @@
 class FakeAgent:
     """The parts of the agent that a call uses."""
 
+    control_selector = None
+    pool = None
+    incarnation = 7
+
     class configuration:
         version = 1
 
--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -39,8 +39,14 @@
         self.on_departure()
 
 
+class FakeQuotas:
+    async def leave(self) -> None:
+        """Has no owner to tell."""
+
+
 class FakeOutbound:
     busy = False
+    quotas = FakeQuotas()
 
 
 class Node:
