Send a refused call again only on another connection to the server

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' of calls that ran.

Can it happen here: a late copy on an idle connection closes it, and one that arrives during another call names that call's id and is discarded (tests stand). But a call that is sent to the same server again has the same id, so the copy of its own first refusal answered it: 503, not run, while the server runs it. test_a_copy_of_a_refusal_does_not_answer_the_same_call_sent_again fails on the code before (SHED instead of the response).

Change: a connection remembers the calls that were refused on it; such a call gets another connection, and the old one is closed. Class: an answer that is matched by a name which two attempts share.

--- a/papayalock/httpclient.py
+++ b/papayalock/httpclient.py
@@ -22,6 +22,7 @@
 PAUSE_BYTES = 65536  # unread body bytes above which reading is paused
 MAX_HEADERS = 100
 MAX_HEAD_BYTES = 65536
+MAX_REFUSED = 256  # refused calls that a connection remembers
 MAX_DISCARDED_BYTES = 1_048_576  # of responses that belong to no call
 CONTINUE = 100
 FIRST_FINAL_STATUS = 200  # lower statuses are interim responses
@@ -168,6 +169,8 @@
         self.used = False  # whether it has carried a call
         self.closed = False
         self.progress = 0  # number of times that data was received
+        # Calls that were refused on it, the latest ones.
+        self.refused: deque[str] = deque(maxlen=MAX_REFUSED)
         self._headers: Headers = []
         self._head_bytes = 0
         self._framing = FramingLimit(MAX_HEAD_BYTES)
--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -327,7 +327,7 @@
         order: HopOrder,
         remaining_ms: int,
     ) -> Outcome:
-        conn = await self._pool.acquire(serving.address)
+        conn = await self._acquire(serving, order)
         self._conns[conn] = start_of(serving)
         sent_at = self._clock.monotonic()
         reusable = False
@@ -355,13 +355,30 @@
                 self._pool.release(serving.address, conn)
             else:
                 conn.close()
-        return self._outcome(response, body)
+        return self._outcome(response, body, order, conn)
+
+    async def _acquire(
+        self, serving: Announcement, order: HopOrder
+    ) -> ClientConn:
+        """Returns a connection on which the call was not refused before.
+
+        A server may send a copy of that refusal late, and it would answer the
+        call that is sent again.
+        """
+        conn = await self._pool.acquire(serving.address)
+        if order.call not in conn.refused:
+            return conn
+        conn.close()
+        return await self._pool.acquire(serving.address, fresh=True)
 
-    def _outcome(self, response: Response, body: bytes) -> Outcome:
+    def _outcome(
+        self, response: Response, body: bytes, order: HopOrder, conn: ClientConn
+    ) -> Outcome:
         fault = self._dialect.classify_response(
             response.status, response.headers
         )
         if fault != Code.DONE:
+            conn.refused.append(order.call)
             if fault == Code.OTHER_SERVER:
                 self._monitor.expire_lease()
             return NoResponse(
--- a/test/test_inbound.py
+++ b/test/test_inbound.py
@@ -18,10 +18,11 @@
 from papayalock.node.runstats import RunStats
 from papayalock.node.slotqueue import SlotQueue
 from papayalock.result import Code
-from test.test_dispatch import FakePool, Writer
+from test.test_dispatch import FakePool, ScriptedConn, Writer
 from test.test_heartbeats import beat
 from test.wires import FakeClock
 
+NAMED = b'papayalock-call: c'
 OK = b'HTTP/1.1 200 OK\r\npapayalock-call: c\r\ncontent-length: 2\r\n\r\nhi'
 FAILED = b'HTTP/1.1 500 X\r\npapayalock-call: c\r\ncontent-length: 0\r\n\r\n'
 SHED = (
@@ -91,6 +92,21 @@
     )
 
 
+class KeptConn:
+    """A pool with one kept connection; servers answer OK on fresh ones."""
+
+    def __init__(self, conn: ScriptedConn) -> None:
+        self.conn = conn
+
+    async def acquire(self, address: str, *, fresh: bool = False):
+        if fresh or self.conn.closed:
+            return ScriptedConn([OK], used=False)
+        return self.conn
+
+    def release(self, address: str, conn) -> None:
+        """Keeps the connection."""
+
+
 class TestSecondCopy:
     """A server may send a second copy of a response late."""
 
@@ -108,6 +124,20 @@
     ):
         assert not self.stays_open(SHED)
 
+    def test_a_copy_of_a_refusal_does_not_answer_the_same_call_sent_again(
+        self,
+    ):
+        refusal = SHED.replace(b'\r\ncontent', b'\r\n%b\r\ncontent' % NAMED)
+
+        async def play():
+            side = Side(refusal, refusal + OK)
+            side.inbound._pool = KeptConn(side.pool.conn)
+            return await side.run(), await side.run()
+
+        first, second = asyncio.run(play())
+        assert first.code == Code.SHED
+        assert isinstance(second, ServerResponse)
+
 
 class TestNotices:
     def test_any_response_of_the_server_may_state_a_limit(self):
