Test that a response which ends within its head is never a success

Report of other operators: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. Not possible here: the head is handed on only once it is complete. No code is changed.

--- a/test/test_httpclient.py
+++ b/test/test_httpclient.py
@@ -11,6 +11,7 @@
 
 GET = Request(b'GET', b'/', [(b'host', b'x')])
 POST = Request(b'POST', b'/', [(b'host', b'x')], b'body')
+HEAD = b'HTTP/1.1 200 OK\r\nx-server-stamp: 1\r\ncontent-length: 5\r\n\r\n'
 
 
 async def start_call(conn, req=GET, *, expect_continue: bool = False):
@@ -65,6 +66,25 @@
 
         assert asyncio.run(run()) == Code.INCOMPLETE_ANSWER
 
+    @pytest.mark.parametrize('reset', [False, True])
+    @pytest.mark.parametrize('cut', range(len(HEAD)))
+    def test_a_response_that_ends_within_its_head_is_an_error(self, cut, reset):
+        async def run() -> TransportError:
+            conn, _ = client()
+            task = await start_call(conn)
+            if cut:
+                conn.data_received(HEAD[:cut])
+            if not reset:
+                conn.eof_received()
+            conn.connection_lost(ConnectionResetError() if reset else None)
+            with pytest.raises(TransportError) as caught:
+                await task
+            return caught.value
+
+        error = asyncio.run(run())
+        assert error.code.may_have_run
+        assert error.sent
+
     def test_a_connection_with_an_unread_response_is_not_reusable(self):
         async def run() -> bool:
             conn, _ = client()
