Answer the calls that still run when the grace time of a stop ends

Can it happen here: calls that come once callers have been notified (2.6 s) are refused if they cannot end in time, as a test of the whole grace now shows.

Change: at the end of the grace each call that still runs is ended and answered 504, its outcome not known, by the HTTP server itself, for callers and for hops from other nodes; only a response that has begun is cut. test_the_node_ends_within_its_grace_time expected the abort of such a call: it now expects a whole 504 and a closed connection, which is stricter.

--- a/papayalock/node/listener.py
+++ b/papayalock/node/listener.py
@@ -63,6 +63,7 @@
         self.limits = limits
         self.on_written: OnWritten = ignore_written
         self.stopping = False
+        self.ended = False
         self.conns: set[ServerConn] = set()
 
     @property
@@ -88,6 +89,16 @@
         for conn in list(self.conns):
             conn.close_expired(now)
 
+    def end_calls(self) -> None:
+        """Ends the calls that still run, as the process is about to end.
+
+        Their callers are answered that the outcome is not known.
+        """
+        self.ended = True
+        for conn in self.conns:
+            for pending in conn.replies:
+                pending.cancel()
+
     async def stop(self, timeout: float) -> bool:
         """Waits for running calls to end, then closes every connection.
 
@@ -179,7 +190,7 @@
         self._framing = FramingLimit(server.limits.header_bytes)
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._replies: deque[PendingReply] = deque()
+        self.replies: deque[PendingReply] = deque()
         self._paused = False
         self._no_more_calls = False
         self._last_activity = 0.0
@@ -208,7 +219,7 @@
     def busy(self) -> bool:
         """Whether a call is being read or run, or a response being sent."""
         unsent = unsent_bytes(self.transport)
-        return bool(self._replies or self._head_bytes or unsent)
+        return bool(self.replies or self._head_bytes or unsent)
 
     def close_if_idle(self) -> None:
         """Closes the connection if it is not busy."""
@@ -222,7 +233,7 @@
         as long as it does not stop for the idle time.
         """
         limits = self._server.limits
-        if self._replies:
+        if self.replies:
             return
         waited_s = now - self._last_activity
         if self._head_bytes and not self._head_complete:
@@ -241,8 +252,8 @@
         """
         if (
             self._server.stopping
-            and self._replies
-            and self._replies[-1] is pending
+            and self.replies
+            and self.replies[-1] is pending
         ):
             self._no_more_calls = True
         return self._no_more_calls
@@ -261,7 +272,7 @@
         """Cancels the running calls, since their caller disconnected."""
         self._server.conns.discard(self)
         self._writable.set()
-        for pending in self._replies:
+        for pending in self.replies:
             pending.cancel()
 
     def pause_writing(self) -> None:
@@ -349,7 +360,7 @@
         if self._no_more_calls:
             return
         self._start(self._call)
-        at_limit = len(self._replies) >= self._server.limits.pipelined
+        at_limit = len(self.replies) >= self._server.limits.pipelined
         if at_limit and self.transport is not None and not self._paused:
             self._paused = True
             self.transport.pause_reading()
@@ -365,8 +376,8 @@
 
     def _start(self, call: Call) -> None:
         pending = PendingReply(self)
-        self._replies.append(pending)
-        if len(self._replies) == 1:
+        self.replies.append(pending)
+        if len(self.replies) == 1:
             pending.start_writing()
         reply = Reply(pending, call.keep_alive)
         pending.task = asyncio.create_task(self._serve(call, reply, pending))
@@ -376,6 +387,10 @@
     ) -> None:
         try:
             await self._server.handler(call, reply)
+        except asyncio.CancelledError:
+            if not self._server.ended or reply.started:
+                raise
+            reply.refuse(Code.UNKNOWN_TIMEOUT, 'the process ends')
         except Exception:
             log.exception('call failed', extra={'code': Code.UNKNOWN_BROKEN})
             reply.abort()
@@ -388,18 +403,18 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return
-        while self._replies and self._replies[0].done:
-            pending = self._replies.popleft()
+        while self.replies and self.replies[0].done:
+            pending = self.replies.popleft()
             self._last_activity = asyncio.get_running_loop().time()
             if pending.closes_connection:
                 transport.close()
                 return
-            if self._replies:
-                self._replies[0].start_writing()
-        if self._paused and len(self._replies) < self._server.limits.pipelined:
+            if self.replies:
+                self.replies[0].start_writing()
+        if self._paused and len(self.replies) < self._server.limits.pipelined:
             self._paused = False
             transport.resume_reading()
-        if self._server.stopping and not self._replies and self._no_more_calls:
+        if self._server.stopping and not self.replies and self._no_more_calls:
             transport.close()
 
     def _refuse(self, code: Code, message: str) -> None:
@@ -410,8 +425,8 @@
         pending.closes_connection = True
         Reply(pending, keep_alive=False).refuse(code, message)
         pending.done = True
-        self._replies.append(pending)
-        if len(self._replies) == 1:
+        self.replies.append(pending)
+        if len(self.replies) == 1:
             pending.start_writing()
         self._advance()
 
--- a/papayalock/node/shutdown.py
+++ b/papayalock/node/shutdown.py
@@ -75,6 +75,8 @@
         await asyncio.sleep(self._shutdown_times.notified_at - now)
         clean = await self._wait_until_idle()
         self._shutdown_times.end(self._clock.monotonic())
+        self._caller_server.end_calls()
+        self._hop_server.end_calls()
         await self._stop_tasks(tasks)
         for listener in listeners:
             listener.close()
--- a/test/test_shutdown.py
+++ b/test/test_shutdown.py
@@ -1,6 +1,7 @@
 """The graceful stop of a node: its reports, waits and closed connections."""
 
 import asyncio
+import re
 from collections.abc import Callable
 
 import pytest
@@ -179,11 +180,13 @@
             node = Node()
             node.call_at(0.0, node.caller, 9.0)
             node.agent.departure_s = 9.0
-            return await node.stop(), node.caller.transport.aborted
+            return await node.stop(), node.caller.transport
 
-        (clean, took), aborted = run_on_fast_loop(scenario)
+        (clean, took), transport = run_on_fast_loop(scenario)
         assert not clean
-        assert aborted
+        assert is_whole_reply(transport.written)
+        assert transport.written.startswith(b'HTTP/1.1 504 ')
+        assert transport.closed
         assert took < GRACE_S
 
     @pytest.mark.parametrize('name', ['caller', 'hop'])
@@ -216,15 +219,18 @@
 class StoppingNode:
     """A stopping node that forwards its callers' calls to other nodes."""
 
-    def __init__(self, run_s: float) -> None:
+    def __init__(self, run_s: float, calls: int = 1) -> None:
         keepalives = [
             (0.1 * step, KEEPALIVE) for step in range(1, int(run_s * 10))
         ]
-        self.far_nodes = FarNodes([*keepalives, (run_s, GOOD)])
+        script = [*keepalives, (run_s, GOOD)]
+        self.far_nodes = FarNodes(*[script] * calls)
         self.outbound_side = Caller(
             self.far_nodes, window_floor=0, timeout_ms=60000
         )
-        self.callers, self.caller = server(self.outbound_side.outbound.handle)
+        self.callers, self.caller = server(
+            self.outbound_side.outbound.handle, connections=calls + 4
+        )
         hops, self.hop = server(handle_slowly)
         self.agent = FakeAgent()
         self.shutdown = Shutdown(
@@ -247,6 +253,64 @@
         return self.caller.transport.written
 
 
+class HangingNode(StoppingNode):
+    """A stopping node whose callees run each call without end."""
+
+    def __init__(self) -> None:
+        super().__init__(run_s=60.0, calls=200)
+
+    async def accept_all(self, until_s: float) -> list[tuple[float, bytes]]:
+        """Has a call arrive each 0.1 s of the stop, on its own connection.
+
+        :returns: when each call was made, and what its caller received
+        """
+        stop = asyncio.create_task(self.shutdown.run(GRACE_S, [], []))
+        head = b'POST /r/x HTTP/1.1\r\nhost: a.example\r\ncontent-length: 0\r\n'
+        remaining = b'%b: 60000\r\n\r\n' % REMAINING_HEADER
+        sides = []
+        for step in range(int(until_s * 10)):
+            side = ServerSide(self.callers)
+            side.conn.data_received(head + remaining)
+            sides.append((step / 10, side.transport))
+            await asyncio.sleep(0.1)
+        await stop
+        return [(at_s, transport.written) for at_s, transport in sides]
+
+
+def is_whole_reply(received: bytes) -> bool:
+    """Returns whether a caller received one complete final response."""
+    head, separator, body = received.partition(b'\r\n\r\n')
+    length = re.search(rb'content-length: (\d+)', head)
+    return bool(separator and length) and len(body) == int(length[1])
+
+
+class TestEndOfGrace:
+    """No call is cut off without an answer when the grace time ends."""
+
+    def replies(self) -> list[tuple[float, bytes]]:
+        async def scenario():
+            return await HangingNode().accept_all(GRACE_S - 0.5)
+
+        return run_on_fast_loop(scenario)
+
+    def test_every_call_that_was_read_gets_a_whole_reply(self):
+        replies = self.replies()
+        cut = [
+            at_s for at_s, received in replies if not is_whole_reply(received)
+        ]
+        assert not cut
+
+    def test_a_call_that_may_have_run_is_not_said_not_to_have_run(self):
+        passed_on = [r for at_s, r in self.replies() if at_s < 2.5]
+        assert passed_on
+        assert all(b' 504 ' in received[:16] for received in passed_on)
+
+    def test_calls_that_cannot_end_in_time_are_refused_once_callers_know(self):
+        late = [r for at_s, r in self.replies() if at_s > 2.7]
+        assert late
+        assert all(b' 503 ' in received[:16] for received in late)
+
+
 def response_to_call(at_s: float, deadline_ms: int = 3000, run_s: float = 0.2):
     """Returns the response to a call made some seconds into the stop.
 
