--- a/papayalock/node/hostmetrics.py
+++ b/papayalock/node/hostmetrics.py
@@ -14,6 +14,7 @@
 
 OK = 200
 NO_LIMIT = -1.0
+MS_PER_S = 1000
 TEXT = (b'content-type', b'text/plain; version=0.0.4')
 MAX_PRIORITY_LABEL = 16  # bounds the label; greater priorities share it
 BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
@@ -85,10 +86,20 @@
 
     def render(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
+        for name, current in self._state().items():
+            self._gauges.set({'what': name}, current)
+        dropped = self._agent.backend_monitor.dropped
+        for reason in DropReason:
+            self._dropped.set({'reason': reason.value}, dropped[reason])
+        text, _ = render(self._registry, [])
+        return bytes(text)
+
+    def _state(self) -> dict[str, float]:
+        now = self._clock.monotonic()
         load = self._gate.load()
         agent = self._agent
         limit = agent.backend_monitor.limit
-        gauges = {
+        return {
             'version': agent.configuration.version,
             'servers': len(agent.placement.servers),
             'nodes': agent.placement.node_count,
@@ -97,6 +108,8 @@
             'started': self._gate.started,
             'server_limit': NO_LIMIT if limit is None else limit,
             'slots': load.slots,
+            'link_wait_ms': round(self._gate.link.backlog_s(now) * MS_PER_S),
+            'large_responses': self._gate.link.transfers,
             'pace_ms': load.pace_ms,
             'failing': load.failing,
             'leaving': int(agent.backend_monitor.is_draining()),
@@ -104,17 +117,9 @@
             'control_errors': agent.errors,
             **agent.polls.read_load(),
             'answered_ms_ago': agent.polls.answered_ms_ago,
-            'loop_lag_ms': self._lag.max_lag_ms(self._clock.monotonic()),
+            'loop_lag_ms': self._lag.max_lag_ms(now),
             **self._crash_reports.counts(),
         }
-        for name, current in gauges.items():
-            self._gauges.set({'what': name}, current)
-        for reason in DropReason:
-            self._dropped.set(
-                {'reason': reason.value}, agent.backend_monitor.dropped[reason]
-            )
-        text, _ = render(self._registry, [])
-        return bytes(text)
 
     async def handle(self, call: Call, reply: Reply) -> None:
         """Answers a scrape with the current metrics."""
