--- a/papayalock/node/inbound.py
+++ b/papayalock/node/inbound.py
@@ -147,8 +147,9 @@
 
     async def handle(self, call: Call, reply: Reply) -> None:
         """Runs a call that another node forwarded and sends its outcome."""
+        content = call.header(ORDER_HEADER)
         try:
-            order = ORDERS.decode(call.header(ORDER_HEADER))
+            order = ORDERS.decode(content)
         except HeaderError as exc:
             reply.refuse(Code.BAD_REQUEST, f'no order: {exc}')
             return
@@ -157,8 +158,9 @@
         with self._replies.keepalives(reply):
             await self._process_disconnects()
             outcome = await self.run(order, call)
-            short = is_short(call.header(ORDER_HEADER))
-            await self._replies.send(order, outcome, began, reply, short=short)
+            await self._replies.send(
+                order, outcome, began, reply, short=is_short(content)
+            )
 
     async def _process_disconnects(self) -> None:
         """Lets the loop read pending disconnects after it stalled.
--- a/papayalock/node/tryrunner.py
+++ b/papayalock/node/tryrunner.py
@@ -3,8 +3,6 @@
 import asyncio
 import logging
 
-import msgspec
-
 from papayalock.core.directory import KnownServer
 from papayalock.core.placement import Placement
 from papayalock.core.servernotices import NOTHING
@@ -22,7 +20,7 @@
     notice_headers,
 )
 from papayalock.node.crashreports import REPORT_HEADER, CrashReports
-from papayalock.node.hopheaders import LOADS, ORDERS
+from papayalock.node.hopheaders import LOADS, ORDERS, HeaderError
 from papayalock.node.http import OUTCOME_HEADER
 from papayalock.node.hopreplies import (
     ARRIVED_HEADER,
@@ -231,11 +229,11 @@
         outcome = self._decode_outcome(response, body)
         try:
             self._crash_reports.merge_header(response.header(REPORT_HEADER))
-        except msgspec.MsgspecError as exc:
+        except HeaderError as exc:
             self._log_bad_header(server, 'crash report', exc)
         try:
             told = decode_notice(response.header(NOTICE_HEADER))
-        except msgspec.MsgspecError as exc:
+        except HeaderError as exc:
             self._log_bad_header(server, 'notice', exc)
         else:
             self._record_notice(server, outcome, told)
@@ -312,7 +310,7 @@
     def _record_load(self, server: KnownServer, header: bytes) -> None:
         try:
             load = LOADS.decode(header)
-        except msgspec.MsgspecError as exc:
+        except HeaderError as exc:
             self._log_bad_header(server, 'load', exc)
             return
         self._placement.record_load(server, load, self._clock.monotonic())
