A new leader grants no tokens before it knows all that was committed

Found on reading the diff again: a customer that the owner of the quotas does not know counts as one without a limit. A leader that has just been elected may not have learned of the newest commits yet, for as long as its disk or a quorum delays the first entry of its term; it would have granted without a limit, or by an older one. test_a_leader_that_may_not_know_the_newest_limits_grants_nothing fails on the code before (DONE, 3 tokens granted). The condition is the one that reads wait for; both use Replica.leads_current_log now.

--- a/papayalock/control/quotaservice.py
+++ b/papayalock/control/quotaservice.py
@@ -74,7 +74,7 @@
         """Returns the tokens for a node, or the leader to ask instead."""
         now = self._clock.monotonic()
         replica = self._group.replica
-        if not replica.is_leader or not replica.has_lease(now):
+        if not replica.leads_current_log or not replica.has_lease(now):
             return QuotaRes(code=Code.NO_LEADER, leader=self._leader_address())
         self.owner.lead(replica.term, now)
         return self.owner.handle(req, self._current_customers(), now)
--- a/papayalock/core/linkload.py
+++ b/papayalock/core/linkload.py
@@ -90,7 +90,7 @@
     """The large responses that a link still has to carry.
 
     They are sent in the order in which they were ready: by turns, all of them
-    would be late together, and one that were overtaken after its call was
+    would be late together, and one that was overtaken after its call was
     admitted could miss its deadline with most of it sent.
     """
 
--- a/papayalock/core/replica.py
+++ b/papayalock/core/replica.py
@@ -290,7 +290,7 @@
 
         :param arrived_at: monotonic seconds at which the read arrived
         """
-        if not self.is_leader or self.commit < self._term_start_index:
+        if not self.leads_current_log:
             return None
         acked = [
             name
@@ -299,6 +299,14 @@
         ]
         return self.commit if len(acked) >= self._majority() else None
 
+    @property
+    def leads_current_log(self) -> bool:
+        """Whether this VM leads and knows all that was committed before.
+
+        A leader knows it once an entry of its own term is committed.
+        """
+        return self.is_leader and self.commit >= self._term_start_index
+
     def can_change_members(self) -> bool:
         """Whether a single-member change may be proposed now.
 
--- a/test/test_quotaservice.py
+++ b/test/test_quotaservice.py
@@ -27,6 +27,7 @@
     is_leader = True
     leader = 'vm-a'
     leased = True
+    leads_current_log = True
     term = 3
     log = FakeLog
 
@@ -102,6 +103,7 @@
     def test_a_follower_names_the_leader(self):
         vm = Vm()
         vm.group.replica.is_leader = False
+        vm.group.replica.leads_current_log = False
         res = vm.ask(1)
         assert (res.code, res.leader) == (Code.NO_LEADER, '10.0.0.1:9')
         assert not res.granted
@@ -113,6 +115,12 @@
         vm.group.replica.leased = False
         assert vm.ask(1).code == Code.NO_LEADER
 
+    def test_a_leader_that_may_not_know_the_newest_limits_grants_nothing(self):
+        vm = Vm()
+        vm.keep_contact(2)
+        vm.group.replica.leads_current_log = False
+        assert vm.ask(3).code == Code.NO_LEADER
+
     def test_a_leader_grants_the_burst_after_a_while(self):
         vm = Vm()
         vm.publish(1, Customer('c', [], rate=10.0, burst=10.0))
