Remember over a node's restart that its server leaves

What callers saw: nothing; a server that had said that it leaves got calls up to 2.4 s later (DRAIN, bound 2 s).

Its departure reported the server as 'left', which took the 'leaving' from the endpoint table. The next process received an old heartbeat first ('backend server changed', leaving false, at its start), and nothing told it better; so others sent calls again. A second hole beside it: where the table did tell, the new process counted the time to drain anew.

Change: a stopping node reports a server that leaves as leaving, not as left, until its lease ends; the new process compares the table also when a heartbeat comes after it, and forwards no call from then on.

--- a/papayalock/core/heartbeats.py
+++ b/papayalock/core/heartbeats.py
@@ -204,6 +204,10 @@
         if self._is_current(endpoint):
             current.version = endpoint.version
 
+    def close(self, now: float) -> None:
+        """Forwards no more calls to a server that left some time ago."""
+        self._start_draining(now - self._close_after_s)
+
     def expire_lease(self) -> None:
         """Ends the lease because another server has the address.
 
--- a/papayalock/node/hostagent.py
+++ b/papayalock/node/hostagent.py
@@ -80,6 +80,7 @@
         self.read_evidence: Callable[[], ServerEvidence | None] | None = None
         self.on_leased_contact: list[Callable[[float], None]] = []
         self.stopping = False
+        self._departed = False
         self.backend_monitor = backend_monitor
         self.placement = placement
         self.control_selector = control_selector
@@ -102,6 +103,10 @@
 
     def backend_changed(self) -> None:
         """Notifies the node's parts and a control VM of a server change."""
+        current = self.backend_monitor.announcement
+        listed = self.placement.servers.get(current.server) if current else None
+        if listed is not None:
+            self._check_own_endpoint(listed.endpoint)
         self._notify_listeners()
         self.wake()
 
@@ -121,7 +126,12 @@
         return True
 
     async def report_departure(self) -> None:
-        """Reports the backend server as departed, with one poll."""
+        """Reports the backend server as departed, with one poll.
+
+        One that leaves is reported as leaving: the next process on this VM may
+        receive an old heartbeat of it and has to know.
+        """
+        self._departed = True
         self.backend_monitor.lease_until = float('-inf')
         await self._poll(wait_ms=0)
 
@@ -202,9 +212,7 @@
             log.warning(
                 'backend server had left', extra={'server': current.server}
             )
-            self.backend_monitor.record_departure(
-                current.server, self._clock.monotonic()
-            )
+            self.backend_monitor.close(self._clock.monotonic())
             self._notify_listeners()
 
     def _request(self, wait_ms: int) -> SyncReq:
@@ -239,9 +247,10 @@
         )
 
     def _state(self) -> EndpointState:
+        leaving = self.backend_monitor.is_draining()
         if self.backend_monitor.lease_expired(self._clock.monotonic()):
-            return 'left'
-        draining = self.stopping or self.backend_monitor.is_draining()
+            return 'draining' if self._departed and leaving else 'left'
+        draining = self.stopping or leaving
         return 'draining' if draining else 'ready'
 
     def _check_backend_lease(self) -> None:
