--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -31,40 +31,31 @@
     The work of a request is in its path: ``/prefix/work-MS/...``.
     """
 
-    def __init__(self, node, slots, record, name='', version='v1'):
+    def __init__(self, node, slots, record):
         """Starts without a listener."""
         self.node = node
         self.slots = slots
         self.record = record
-        self.name = name or f'i-{secrets.token_hex(5)}'
-        self.version = version
-        self.leaving = False
+        self.name = f'i-{secrets.token_hex(5)}'
         self.sequence = 0
-        self.ping_address = node.address('control')
         self.runs = []
-        self.acks = {}  # when a ping or a departure was acknowledged first
         self._slot = asyncio.Semaphore(slots)
         self._listener = None
         self._writers = set()
         self._beats = None
 
-    async def start(self, *, announce=True):
+    async def start(self):
         """Opens the listener and begins to send pings."""
         host, _, port = self.node.address('app').rpartition(':')
         self._listener = await asyncio.start_server(
             self._accept, host, int(port)
         )
-        if announce:
-            self._beats = asyncio.create_task(self._beat())
-
-    def stop_pings(self):
-        """Sends no further pings."""
-        if self._beats is not None:
-            self._beats.cancel()
+        self._beats = asyncio.create_task(self._beat())
 
     def stop(self):
         """Ends the process of the server: all connections are lost."""
-        self.stop_pings()
+        if self._beats is not None:
+            self._beats.cancel()
         if self._listener is not None:
             self._listener.close()
         for writer in list(self._writers):
@@ -77,7 +68,7 @@
             'address': self.node.address('app'),
             'info': {
                 'service': self.node.service,
-                'version': self.version,
+                'version': 'v1',
                 'zone': self.node.zone,
                 'slots': self.slots,
             },
@@ -96,32 +87,13 @@
             json.dumps(body).encode(),
         )
 
-    async def send(self, data, what):
-        """Sends a ping or departure; returns whether it was acknowledged."""
-        try:
-            response = await exchange(self.ping_address, data, PING_TIMEOUT_S)
-        except OSError as exc:
-            self.record.write(self.name, f'{what}: no answer ({exc})')
-            return False
-        self.record.write(self.name, f'{what}: answered {response.status}')
-        acknowledged = 200 <= response.status < 300
-        if acknowledged:
-            self.acks.setdefault(what, time.monotonic())
-        return acknowledged
-
-    async def depart(self):
-        """Sends one DELETE; returns whether it was acknowledged."""
-        data = encode(
-            f'DELETE /v1/instances/{self.name} HTTP/1.1',
-            [('Host', self.node.address('control'))],
-        )
-        return await self.send(data, 'DELETE')
-
     async def _beat(self):
         while True:
             data = self.ping()
             try:
-                await exchange(self.ping_address, data, PING_TIMEOUT_S)
+                await exchange(
+                    self.node.address('control'), data, PING_TIMEOUT_S
+                )
             except OSError:
                 pass  # the node may be down; the next ping follows
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
@@ -145,14 +117,11 @@
         method, target, _ = message.first_line.split(' ')
         call = message.header('x-request-id')
         if method == 'GET' and target == HEALTH_PATH:
-            status = '503 Leaving' if self.leaving else '200 OK'
             writer.write(
-                encode(f'HTTP/1.1 {status}', [('X-Instance-Id', self.name)])
+                encode('HTTP/1.1 200 OK', [('X-Instance-Id', self.name)])
             )
             return True
         echo = [('X-Request-Id', call)]
-        if self.leaving:
-            echo.append(('Server-Leaving', '1'))
         if not call:
             writer.write(
                 encode('HTTP/1.1 400 Bad Request', [('X-Not-Executed', '1')])
