Count and log each retry when it is decided

Change: 'call retried' with the code before it, the retries since the start, what is left and the age of the process; papayalock_retries_total by service and running_s; tries say whether the call arrived at a server, so a retry after a server's refusal is no longer logged as a plain success. The budgets of a node are one class, used by the load model as well. No decision changes.

Evidence: tests of both lines.

--- a/bench/loadmodel/model.py
+++ b/bench/loadmodel/model.py
@@ -21,7 +21,7 @@
 )
 from bench.loadmodel.servers import SimProcess, SimulatedServer
 from papayalock.core.admission import Job, ServerGate
-from papayalock.core.budget import SharedBudget
+from papayalock.core.budget import ServiceBudgets, SharedBudget
 from papayalock.core.directory import KnownServer
 from papayalock.core.gate import Shed
 from papayalock.core.hedging import (
@@ -75,15 +75,17 @@
         self.placement = variant.placement(server.zone, server.name, rng)
         self.refused_calls = variant.refused_calls()
         self._new_search = variant.search
-        self._budgets: dict[str, SharedBudget] = {}
+        self._budgets = ServiceBudgets(
+            BUDGET_WINDOW_MS,
+            BUDGET_SHARE,
+            BUDGET_MIN_RETRIES,
+            started_at=float('-inf'),
+        )
         self._searches: dict[str, SlotSearch] = {}
 
     def budget(self, service: str) -> SharedBudget:
         """Returns this node's share of a service's retry budget."""
-        return self._budgets.setdefault(
-            service,
-            SharedBudget(BUDGET_WINDOW_MS, BUDGET_SHARE, BUDGET_MIN_RETRIES),
-        )
+        return self._budgets.find(service)
 
     def search(self, service: str) -> SlotSearch:
         """Returns this node's search for free slots of a service."""
--- a/papayalock/core/budget.py
+++ b/papayalock/core/budget.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 
+MS_PER_S = 1000
 # Part of the share that nodes spend. A retried call makes its own calls once
 # more, and these are retried as well.
 SPENDABLE_PART = 0.7
@@ -37,7 +38,7 @@
 class SharedBudget:
     """One node's share of the retry budget of one service."""
 
-    __slots__ = ('_calls', '_floor', '_retries', '_share')
+    __slots__ = ('_calls', '_floor', '_retries', '_share', 'spent')
 
     def __init__(self, window_ms: int, share: float, floor: float) -> None:
         """Starts unspent.
@@ -45,7 +46,8 @@
         :param share: retries per call, over all nodes
         :param floor: retries per window without any calls, over all nodes
         """
-        window_s = window_ms / 1000
+        window_s = window_ms / MS_PER_S
+        self.spent = 0  # retries since the start
         self._share = share * SPENDABLE_PART
         self._floor = floor
         self._calls = SlidingCount(window_s)
@@ -72,4 +74,35 @@
         if self.remaining(now, nodes) < 1:
             return False
         self._retries.add(now)
+        self.spent += 1
         return True
+
+
+class ServiceBudgets:
+    """The retry budgets of one node, by service."""
+
+    __slots__ = ('_budgets', '_floor', '_share', '_window_ms', 'started_at')
+
+    def __init__(
+        self, window_ms: int, share: float, floor: float, started_at: float
+    ) -> None:
+        """Starts without services.
+
+        :param share: retries of a service per call of it, over all nodes
+        :param floor: retries of a service per window without any calls, over
+            all nodes
+        :param started_at: when the node started, in monotonic seconds
+        """
+        self.started_at = started_at
+        self._window_ms = window_ms
+        self._share = share
+        self._floor = floor
+        self._budgets: dict[str, SharedBudget] = {}
+
+    def find(self, service: str) -> SharedBudget:
+        """Returns the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = SharedBudget(self._window_ms, self._share, self._floor)
+            self._budgets[service] = budget
+        return budget
--- a/papayalock/node/accesslog.py
+++ b/papayalock/node/accesslog.py
@@ -1,7 +1,7 @@
 """The access log of a node: logs calls and counts their outcomes.
 
 Logs each call that was refused, failed or had a failed or unresponsive first
-try, and a sample of the others. A line has the id of the call, the data on
+try, each retry, and a sample of the others. A line has the id of the call, the data on
 which its servers were chosen and the age of that data, so that an engineer can
 find the cause of a failure.
 """
@@ -31,6 +31,7 @@
     """One try of a call: its server, the known state of it and the outcome."""
 
     __slots__ = (
+        'arrived',
         'code',
         'ended_at',
         'failures',
@@ -53,15 +54,18 @@
         self.failures = server.failures
         self.code = ''
         self.reason = ''
+        self.arrived = False  # whether the call reached the server
 
     def finish(self, outcome: Outcome, now: float) -> None:
         """Records the outcome and the time of the end."""
         self.ended_at = now
         if isinstance(outcome, ServerResponse):
             self.code = str(outcome.status)
+            self.arrived = True
         else:
             self.code = outcome.code.name
             self.reason = outcome.reason
+            self.arrived = outcome.arrived
 
     def log_fields(self, now: float) -> Fields:
         """Returns the try as fields of a log line."""
@@ -72,6 +76,7 @@
             'version': self.server.endpoint.version,
             'code': self.code or 'UNFINISHED',
             'reason': self.reason,
+            'arrived': self.arrived,
             'took_ms': round((end - self.started_at) * MS_PER_S, 1),
             'jobs_known': self.known_jobs,
             'load_age_ms': round(self.load_age_s * MS_PER_S),
@@ -85,10 +90,11 @@
 
 
 def _was_retried(tries: list[TryRecord]) -> bool:
-    """Whether another try followed a failed or unresponsive first one."""
-    first = tries[0]
-    failed = first.code.isdigit() or first.unresponsive_at is not None
-    return len(tries) > 1 and failed
+    """Whether another try followed one that a server may have seen."""
+    return any(
+        record.arrived or record.unresponsive_at is not None
+        for record in tries[:-1]
+    )
 
 
 @dataclass(slots=True)
@@ -149,11 +155,14 @@
         metrics: HostMetrics,
         lag: LoopLag,
         sample: int,
+        started_at: float,
     ) -> None:
         """Starts without calls.
 
         :param sample: one of so many successful calls is logged
+        :param started_at: when the node started, in monotonic seconds
         """
+        self._started_at = started_at
         self._agent = agent
         self._clock = clock
         self._metrics = metrics
@@ -174,6 +183,34 @@
             },
         )
 
+    def log_retry(
+        self, routed: RoutedCall, code: Code, budget: SharedBudget
+    ) -> None:
+        """Counts a retry and logs it.
+
+        It is logged when it is decided, as the node may be killed before the
+        call ends.
+
+        :param code: outcome of the try that is followed by another
+        """
+        self._metrics.count_retry(routed.service)
+        now = self._clock.monotonic()
+        nodes = self._agent.placement.node_count
+        log.info(
+            'call retried',
+            extra={
+                'call': routed.metadata.call,
+                'route': routed.route.name,
+                'service': routed.service,
+                'code': code.name,
+                'took_ms': round((now - routed.arrived_at) * MS_PER_S, 1),
+                'retries_spent': budget.spent,
+                'budget_left': round(budget.remaining(now, nodes), 1),
+                'nodes': nodes,
+                'running_ms': round((now - self._started_at) * MS_PER_S),
+            },
+        )
+
     def log_ended(
         self, routed: RoutedCall, outcome: Outcome, budget: SharedBudget
     ) -> None:
--- a/papayalock/node/hedge.py
+++ b/papayalock/node/hedge.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+from collections.abc import Callable
 
 from papayalock.core.budget import SharedBudget
 from papayalock.core.hedging import (
@@ -41,6 +42,7 @@
         '_budget',
         '_clock',
         '_events',
+        '_on_retry',
         '_outcome',
         '_placement',
         '_progress',
@@ -57,13 +59,17 @@
         placement: Placement,
         try_runner: TryRunner,
         clock: Clock,
+        on_retry: Callable[[RoutedCall, Code, SharedBudget], None],
     ) -> None:
         """Prepares the call; no try is started yet.
 
         :param routed: the call; its tries are recorded in it
         :param progress: counts of tries, which decide on further ones
         :param budget: retry budget of the service
+        :param on_retry: called after each retry that the budget granted, with
+            the outcome that led to it
         """
+        self._on_retry = on_retry
         self._routed = routed
         self._progress = progress
         self._budget = budget
@@ -201,4 +207,6 @@
         self._progress.may_queue = (
             self._progress.may_queue or action is NextAction.WAIT
         )
+        if action is NextAction.REPEAT:
+            self._on_retry(routed, code, self._budget)
         return action
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -108,6 +108,7 @@
             self.gate.shutdown_times,
             rng,
             self.crashes.reports,
+            started_at=clock.monotonic(),
         )
         self.announcement_handler = AnnouncementHandler(
             dialects.announcements,
--- a/papayalock/node/hostmetrics.py
+++ b/papayalock/node/hostmetrics.py
@@ -31,8 +31,8 @@
 class HostMetrics:
     """Counts calls by result code and priority, and exports the node's state.
 
-    Label values are result codes and bounded priorities. None comes
-    from what a caller sends.
+    Label values are result codes, bounded priorities and configured services.
+    None comes from what a caller sends.
     """
 
     def __init__(
@@ -44,6 +44,7 @@
         crash_reports: CrashReports,
     ) -> None:
         """Starts at zero."""
+        self._started_at = clock.monotonic()
         self._crash_reports = crash_reports
         self._agent = agent
         self._gate = gate
@@ -66,6 +67,11 @@
             'Heartbeats of the backend server that changed nothing',
             registry=self._registry,
         )
+        self._retries = Counter(
+            'papayalock_retries_total',
+            'Retries that the budget granted, by service',
+            registry=self._registry,
+        )
         self._gauges = Gauge(
             'papayalock_state', 'State of this node', registry=self._registry
         )
@@ -84,6 +90,10 @@
         if route:
             self._durations.observe({'rank': label}, duration_s)
 
+    def count_retry(self, service: str) -> None:
+        """Counts a retry that the budget of a service granted."""
+        self._retries.inc({'service': service})
+
     def render(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
         for name, current in self._state().items():
@@ -101,6 +111,7 @@
         limit = agent.backend_monitor.limit
         return {
             'version': agent.configuration.version,
+            'running_s': round(now - self._started_at),
             'servers': len(agent.placement.servers),
             'nodes': agent.placement.node_count,
             'jobs': load.jobs,
--- a/papayalock/node/outbound.py
+++ b/papayalock/node/outbound.py
@@ -1,6 +1,6 @@
 """The outbound proxy of a node with host routing: runs the calls of its VM."""
 
-from papayalock.core.budget import SharedBudget
+from papayalock.core.budget import ServiceBudgets, SharedBudget
 from papayalock.core.crashes import request_digest
 from papayalock.core.hedging import (
     FREE_SLOT_SEARCH_SHARE,
@@ -48,8 +48,13 @@
         shutdown_times: ShutdownTimes,
         rng: Random,
         crash_reports: CrashReports,
+        *,
+        started_at: float,
     ) -> None:
-        """Starts without calls."""
+        """Starts without calls.
+
+        :param started_at: when the node started, in monotonic seconds
+        """
         self._settings = settings
         self._shutdown_times = shutdown_times
         self._agent = agent
@@ -71,11 +76,16 @@
         self._clock = clock
         self._exposure = agent.exposure
         self._splitter = TrafficSplitter(rng, self._is_reachable)
-        self._budgets: dict[str, SharedBudget] = {}
+        self._budgets = ServiceBudgets(
+            settings.retry.window_ms,
+            settings.retry.window_share,
+            settings.retry.window_floor,
+            started_at=started_at,
+        )
         self._searches: dict[str, SlotSearch] = {}
         self._refused_calls = RefusedCalls()
         self._access_log = AccessLog(
-            agent, clock, metrics, lag, settings.log.sample
+            agent, clock, metrics, lag, settings.log.sample, started_at
         )
 
     async def handle(self, call: Call, reply: Reply) -> None:
@@ -101,7 +111,7 @@
                 self._dialect.read_metadata(call).call, routed
             )
             return routed
-        budget = self._budget(routed.service)
+        budget = self._budgets.find(routed.service)
         outcome = await self.quotas.run_call(
             routed.customer, lambda: self._run_routed(routed, budget)
         )
@@ -183,6 +193,7 @@
             self._placement,
             self.try_runner,
             self._clock,
+            self._access_log.log_retry,
         )
         return await hedged.run()
 
@@ -208,13 +219,3 @@
     def _is_reachable(self, service: str, now: float) -> bool:
         cohort = self._exposure.repeat(service)
         return self._placement.is_reachable(service, now, cohort)
-
-    def _budget(self, service: str) -> SharedBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            retry = self._settings.retry
-            budget = SharedBudget(
-                retry.window_ms, retry.window_share, retry.window_floor
-            )
-            self._budgets[service] = budget
-        return budget
--- a/papayalock/ui/trace.py
+++ b/papayalock/ui/trace.py
@@ -30,6 +30,8 @@
     'left_ms',
     'target_left_ms',
     'budget_left',
+    'retries_spent',
+    'running_ms',
     'retry_after_ms',
     'address',
     'peer',
--- a/test/hostmesh.py
+++ b/test/hostmesh.py
@@ -24,7 +24,7 @@
 from papayalock.result import Code
 from test.test_heartbeats import beat
 from test.test_hostroutes import table
-from test.test_outbound import NoMetrics
+from test.test_outbound import STARTED_AT, NoMetrics
 from test.test_placement import endpoint
 from test.test_routesets import route
 from test.wires import FakeTransport, FastLoop, LoopClock
@@ -207,6 +207,7 @@
             self.gate.shutdown_times,
             random.Random(number),
             self.crash_reports,
+            started_at=STARTED_AT,
         )
         limits = ServerLimits(65536, 65536, 4096)
         mesh.gates[self.address] = HttpServer(
--- a/test/test_outbound.py
+++ b/test/test_outbound.py
@@ -1,6 +1,7 @@
 """OutboundProxy: tries, hedging on unresponsive nodes, outcomes of calls."""
 
 import asyncio
+import logging
 import random
 
 import pytest
@@ -38,8 +39,10 @@
     + LOAD
     + b'\r\ncontent-length: 0\r\n\r\n'
 )
+SHED_BY_SERVER = SHED.replace(b'arrived: 0', b'arrived: 1')
 KEEPALIVE = b'HTTP/1.1 102 Processing\r\n\r\n'
 SILENCE_S = 0.24
+STARTED_AT = 0.0  # monotonic seconds; long before the first call
 
 
 def sent_header(conn: 'FarConn') -> bytes:
@@ -127,6 +130,9 @@
 
 
 class NoMetrics:
+    def count_retry(self, service: str) -> None:
+        """Counts nothing."""
+
     def count(self, *counted: object) -> None:
         """Counts nothing."""
 
@@ -159,6 +165,7 @@
             self.shutdown_times,
             random.Random(1),
             CrashReports(LoopClock()),
+            started_at=STARTED_AT,
         )
 
     async def call(self, deadline_ms: int = 1000, body: bytes = b''):
@@ -322,7 +329,7 @@
 
     def test_without_another_server_the_budget_is_not_charged(self):
         caller = self.after(FarNodes([(0.6, GOOD)]))
-        budget = caller.outbound._budget('floor')
+        budget = caller.outbound._budgets.find('floor')
         assert budget.remaining(1001, caller.agent.placement.node_count) >= 60
 
     def test_a_lost_connection_later_is_not_a_second_failure(self):
@@ -439,3 +446,31 @@
         assert outcome.code == Code.ROUTES_OUTDATED
         assert outcome.code.not_run
         assert outcome.retry_after_ms > 0
+
+
+class TestRetryLog:
+    """Each retry is counted where it is decided, whatever ends the node."""
+
+    def lines(self, caplog, *scripts: Script) -> list[logging.LogRecord]:
+        caplog.set_level(logging.INFO)
+        play(FarNodes(*scripts))
+        return caplog.records
+
+    def test_a_retry_is_logged_before_the_call_ends(self, caplog):
+        lines = self.lines(caplog, [(0.1, SHED_BY_SERVER)], [(0.1, GOOD)])
+        retry = next(line for line in lines if line.message == 'call retried')
+        assert (retry.call, retry.code, retry.retries_spent) == ('c', 'SHED', 1)
+        assert retry.running_ms >= 100
+        assert lines[-1].message == 'call answered after more than one try'
+
+    def test_a_try_that_no_server_saw_is_told_from_one_that_a_server_refused(
+        self, caplog
+    ):
+        for first, arrived in ((SHED, False), (SHED_BY_SERVER, True)):
+            caplog.clear()
+            failed = [(0.1, FAILED)]
+            lines = self.lines(caplog, [(0.1, first)], failed, failed)
+            tries = [
+                line.tries for line in lines if line.message != 'call retried'
+            ]
+            assert tries[-1][0]['arrived'] is arrived
