A failing test: restarted nodes spend the retry budget anew

Reproduced in memory: 16 nodes, all calls fail, nodes restart 1 to 27 s after the first failure. The bound is the stated target itself.

--- a/test/test_budget.py
+++ b/test/test_budget.py
@@ -1,8 +1,11 @@
 """The shared retry budget, and the action after a failed try."""
 
+import bisect
+import random
+
 import pytest
 
-from papayalock.core.budget import SharedBudget
+from papayalock.core.budget import ServiceBudgets, SharedBudget
 from papayalock.core.hedging import (
     CallProgress,
     NextAction,
@@ -45,6 +48,109 @@
             assert sum(start <= at < start + 10 for at in times) <= 10
 
 
+class RestartingNodes:
+    """All calls of a service fail from ``FAILING_FROM`` on, and nodes restart.
+
+    A call is retried as often as its node's budget allows, twice at most. The
+    target is the one stated for all nodes together: in any window, no more
+    retries than a share of the calls and the floor.
+    """
+
+    WINDOW_S = 10.0
+    SHARE = 0.2
+    FLOOR = 62
+    NODES = 16
+    CALM_S = 20.0  # without a failure, after the first start
+    LENGTH_S = 60.0
+
+    def __init__(
+        self, per_s: float, restarts: list[float], part: float = 1.0
+    ) -> None:
+        """Plays the calls.
+
+        :param per_s: calls of all nodes together
+        :param restarts: when nodes restart, in seconds after the first failure
+        :param part: share of the nodes that restart
+        """
+        self.calls: list[float] = []
+        self.retries: list[float] = []
+        rng = random.Random(5)
+        nodes = [self.start(0) for _ in range(self.NODES)]
+        due = [self.CALM_S + after for after in restarts]
+        now = self.WINDOW_S
+        while now < self.LENGTH_S:
+            while due and due[0] <= now:
+                for index in range(round(part * self.NODES)):
+                    nodes[index] = self.start(due[0])
+                del due[0]
+            self.play_call(rng.choice(nodes), now)
+            now += rng.expovariate(per_s)
+
+    def start(self, now: float) -> SharedBudget:
+        """Returns the budget of a process that starts now."""
+        window_ms = round(self.WINDOW_S * 1000)
+        budgets = ServiceBudgets(window_ms, self.SHARE, self.FLOOR, now)
+        return budgets.find('service')
+
+    def play_call(self, node: SharedBudget, now: float) -> None:
+        self.calls.append(now)
+        node.record_call(now)
+        for _ in range(2):
+            if now >= self.CALM_S and node.try_spend(now, self.NODES):
+                self.retries.append(now)
+
+    def count_retries(self, begin: float, end: float) -> int:
+        """Counts the retries between two times after the first failure."""
+        return count_between(
+            self.retries, self.CALM_S + begin, self.CALM_S + end
+        )
+
+    def worst_excess(self) -> float:
+        """Returns by how many retries a window goes beyond the target.
+
+        The calls are those of the window, of the one before it or of the one
+        half a window before it, whichever has most.
+        """
+        return max(
+            count_between(self.retries, begin, begin + self.WINDOW_S)
+            - self.SHARE
+            * max(
+                count_between(
+                    self.calls, begin - earlier, begin - earlier + self.WINDOW_S
+                )
+                for earlier in (0, self.WINDOW_S / 2, self.WINDOW_S)
+            )
+            - self.FLOOR
+            for begin in self.retries
+        )
+
+
+def count_between(times: list[float], begin: float, end: float) -> int:
+    return bisect.bisect_left(times, end) - bisect.bisect_left(times, begin)
+
+
+RATES_PER_S = (20, 150, 220)
+# In seconds after the first failure.
+RESTARTS_S = ([1], [1, 4], [1, 4, 7], [1, 3, 5, 7], [5, 16, 27])
+
+
+class TestBudgetOverRestarts:
+    @pytest.mark.parametrize('per_s', RATES_PER_S)
+    def test_without_restarts_nodes_stay_within_the_target(self, per_s):
+        assert RestartingNodes(per_s, []).worst_excess() <= 0
+
+    def test_restarted_nodes_do_not_spend_the_budget_anew(self):
+        excesses = {
+            (per_s, part, *restarts): RestartingNodes(
+                per_s, restarts, part
+            ).worst_excess()
+            for per_s in RATES_PER_S
+            for part in (0.5, 1.0)
+            for restarts in RESTARTS_S
+        }
+        assert max(excesses.values()) <= 0, excesses
+
+
 class TestNextAction:
     def action(
         self,
