A node that starts spends another part of the retry budget at first

Cause: the spending of a node's window lives in its process, and a process that starts took the whole window's allowance anew: its part of the floor at once, and the share of each new call, while its predecessor's retries still count. Class: an allowance that a process hands itself at each start.

Change: the share has a part (0.7, as before) for nodes that have run a whole window, and another (0.2) for nodes in their first window, who get nothing of the floor. What was spent before a start then never meets what is spent after it in one window, however often nodes restart; a tenth stays unspent, for calls that retried runs make again. Nodes that do not restart decide as before.

Callers of restarted nodes still get retries, test_callers_of_restarted_nodes_still_get_retries.

--- a/papayalock/core/budget.py
+++ b/papayalock/core/budget.py
@@ -1,8 +1,13 @@
 """A retry budget for each service, split between all nodes.
 
 In any window, the retries of all nodes together stay below a share of the
-calls plus a floor. A node may spend the share of its own calls, and the floor
-divided by the number of nodes.
+calls plus a floor. A node may spend most of the share of its own calls, and the
+floor divided by the number of nodes.
+
+A node that has just started does not know what the process before it spent in
+this window, so for its first window it spends another part of the share, which
+no node spends later, and nothing of the floor. The load that this answers:
+servers fail for a whole window, while nodes restart again and again.
 """
 
 from collections import deque
@@ -11,6 +16,7 @@
 # Part of the share that nodes spend. A retried call makes its own calls once
 # more, and these are retried as well.
 SPENDABLE_PART = 0.7
+STARTING_PART = 0.2  # of the share, in the first window after a start
 
 
 class SlidingCount:
@@ -38,17 +44,28 @@
 class SharedBudget:
     """One node's share of the retry budget of one service."""
 
-    __slots__ = ('_calls', '_floor', '_retries', '_share', 'spent')
+    __slots__ = (
+        '_calls',
+        '_floor',
+        '_full_at',
+        '_retries',
+        '_share',
+        'spent',
+    )
 
-    def __init__(self, window_ms: int, share: float, floor: float) -> None:
-        """Starts unspent.
+    def __init__(
+        self, window_ms: int, share: float, floor: float, started_at: float
+    ) -> None:
+        """Starts without calls.
 
         :param share: retries per call, over all nodes
         :param floor: retries per window without any calls, over all nodes
+        :param started_at: when the node started, in monotonic seconds
         """
         window_s = window_ms / MS_PER_S
         self.spent = 0  # retries since the start
-        self._share = share * SPENDABLE_PART
+        self._full_at = started_at + window_s
+        self._share = share
         self._floor = floor
         self._calls = SlidingCount(window_s)
         self._retries = SlidingCount(window_s)
@@ -62,8 +79,11 @@
 
         :param nodes: number of nodes that share the floor
         """
-        calls = self._calls.count(now)
-        allowed = calls * self._share + self._floor / max(1, nodes)
+        earned = self._calls.count(now) * self._share
+        if now < self._full_at:
+            allowed = earned * STARTING_PART
+        else:
+            allowed = earned * SPENDABLE_PART + self._floor / max(1, nodes)
         return allowed - self._retries.count(now)
 
     def try_spend(self, now: float, nodes: int) -> bool:
@@ -81,7 +101,7 @@
 class ServiceBudgets:
     """The retry budgets of one node, by service."""
 
-    __slots__ = ('_budgets', '_floor', '_share', '_window_ms', 'started_at')
+    __slots__ = ('_budgets', '_floor', '_share', '_started_at', '_window_ms')
 
     def __init__(
         self, window_ms: int, share: float, floor: float, started_at: float
@@ -93,7 +113,7 @@
             all nodes
         :param started_at: when the node started, in monotonic seconds
         """
-        self.started_at = started_at
+        self._started_at = started_at
         self._window_ms = window_ms
         self._share = share
         self._floor = floor
@@ -103,6 +123,8 @@
         """Returns the budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = SharedBudget(self._window_ms, self._share, self._floor)
+            budget = SharedBudget(
+                self._window_ms, self._share, self._floor, self._started_at
+            )
             self._budgets[service] = budget
         return budget
--- a/test/test_budget.py
+++ b/test/test_budget.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from papayalock.core.budget import ServiceBudgets, SharedBudget
+from papayalock.core.budget import STARTING_PART, ServiceBudgets, SharedBudget
 from papayalock.core.hedging import (
     CallProgress,
     NextAction,
@@ -16,7 +16,10 @@
 
 
 def budget(floor: int = 60) -> SharedBudget:
-    return SharedBudget(window_ms=10_000, share=0.2, floor=floor)
+    """Returns the budget of a node that has run for a long time."""
+    return SharedBudget(
+        window_ms=10_000, share=0.2, floor=floor, started_at=float('-inf')
+    )
 
 
 class TestBudget:
@@ -150,6 +153,21 @@
         }
         assert max(excesses.values()) <= 0, excesses
 
+    @pytest.mark.parametrize('per_s', RATES_PER_S)
+    def test_callers_of_restarted_nodes_still_get_retries(self, per_s):
+        played = RestartingNodes(per_s, [1])
+        begin = played.CALM_S + 1
+        calls = count_between(played.calls, begin, begin + played.WINDOW_S)
+        granted = played.count_retries(1, 1 + played.WINDOW_S)
+        most_unused = played.NODES  # each node spends whole retries only
+        assert granted >= played.SHARE * STARTING_PART * calls - most_unused
+
+    def test_a_node_spends_all_of_its_part_after_its_first_window(self):
+        node = SharedBudget(10_000, share=0.2, floor=60, started_at=100.0)
+        assert not node.try_spend(109.9, nodes=2)
+        granted = [node.try_spend(110.0, nodes=2) for _ in range(40)]
+        assert sum(granted) == 30
+
 
 class TestNextAction:
     def action(
