A restarted relay does not get the retries of a second anew

Cause: the token bucket of a node's relay started with the tokens of a second, made at the first call of a service. A process that restarts ten times a second grants its floor ten times over.

Change: the bucket starts empty when the process starts. Tests of calls wait for the second in which a budget of their floor fills; what they expect stands.

Evidence: test_a_process_that_restarts_gets_no_retries_anew failed (1,000 retries in 10 s, 100 allowed) and passes.

--- a/papayalock/core/retry.py
+++ b/papayalock/core/retry.py
@@ -23,16 +23,17 @@
 
     __slots__ = ('_floor', '_share', '_tokens', '_updated_at')
 
-    def __init__(self, percent: int, floor: int, now: float) -> None:
-        """Starts with the tokens of one second.
+    def __init__(self, percent: int, floor: int, started_at: float) -> None:
+        """Starts empty, as the process before it may have spent its tokens.
 
         :param percent: retries per hundred calls
         :param floor: retries per second that need no calls
+        :param started_at: when the process started, in monotonic seconds
         """
         self._share = percent / PERCENT
         self._floor = floor
-        self._tokens = float(floor)
-        self._updated_at = now
+        self._tokens = 0.0
+        self._updated_at = started_at
 
     def record_call(self) -> None:
         """Adds the tokens of one call."""
--- a/papayalock/node/relay.py
+++ b/papayalock/node/relay.py
@@ -76,6 +76,7 @@
         self._admin = admin
         self._counters = counters
         self._clock = clock
+        self._started_at = clock.monotonic()
         self._alive_ms = alive_ms
         self._budget_percent = budget_percent
         self._budget_floor = budget_floor
@@ -272,8 +273,9 @@
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            now = self._clock.monotonic()
-            budget = RetryBudget(self._budget_percent, self._budget_floor, now)
+            budget = RetryBudget(
+                self._budget_percent, self._budget_floor, self._started_at
+            )
             self._budgets[service] = budget
         return budget
 
--- a/test/test_relay.py
+++ b/test/test_relay.py
@@ -137,6 +137,7 @@
 def play(*scripts: Script, headers=(), own: bool = False, **changes):
     async def run() -> tuple[Node, float]:
         node = Node(*scripts, **{'floor': 10, **changes})
+        await asyncio.sleep(1)  # in which its budget gets its floor
         if own:
             node.serve()
         return node, await node.call(*headers)
--- a/test/test_retry.py
+++ b/test/test_retry.py
@@ -20,7 +20,8 @@
 
 
 def ample_budget() -> RetryBudget:
-    return RetryBudget(20, 10, 0.0)
+    """Returns a budget with the tokens of one second."""
+    return RetryBudget(20, 10, -1.0)
 
 
 def failed(code: Code, **changes: object) -> FailedTry:
@@ -102,6 +103,14 @@
             granted += budget.try_spend(0.0)
         assert 190 <= granted <= 200
 
+    def test_a_process_that_restarts_gets_no_retries_anew(self):
+        granted = 0
+        for restart in range(100):
+            budget = RetryBudget(20, 10, restart / 10)
+            for _ in range(20):
+                granted += budget.try_spend(restart / 10 + 0.09)
+        assert granted <= 10 * 10  # the floor of ten seconds
+
     def test_retries_do_not_multiply_down_a_call_tree(self):
         retry_policy = policy()
         budgets = [ample_budget() for _ in range(11)]
