A node counts the others for ten minutes after it lost sight of them

Cause: a node takes the floor of a retry budget divided by the nodes whose servers it knows. Behind a cut, or while servers are down, it knows fewer, and takes more: four zones of four nodes that are cut from each other for longer than servers stay known granted 240 retries of a floor of 62.

Change: a node that had a server counts for NODE_MEMORY_S after the last one is gone. Tests of the count name the time; two expected the lower count at once and now expect it after that time.

Evidence: test_nodes_cut_off_from_others_do_not_share_the_budget_with_less failed (240 <= 62) and passes.

--- a/papayalock/core/directory.py
+++ b/papayalock/core/directory.py
@@ -8,6 +8,9 @@
 from papayalock.messages import Endpoint, ServerLoad
 
 RETENTION_S = 6.0  # how long a server stays after a full list omitted it
+# How long a node is counted after its last server is gone: it takes calls
+# without one, and behind a cut it still shares what all nodes share.
+NODE_MEMORY_S = 600.0
 
 
 class KnownServer:
@@ -53,6 +56,7 @@
         self.notices = ServerNotices()
         self._by_service: dict[str, dict[str, KnownServer]] = {}
         self._addresses: Counter[str] = Counter()
+        self._left_at: dict[str, float] = {}  # of nodes without a server
         self._ready: dict[str, list[KnownServer]] = {}
         self._ready_revision = 0
 
@@ -66,11 +70,11 @@
         if current is not None and _same_process(current.endpoint, endpoint):
             current.unlisted_at = float('inf')
             server = current
-        self.remove(endpoint.server)
+        self.remove(endpoint.server, now)
         server.endpoint = endpoint
         self._add(server)
 
-    def remove(self, name: str) -> None:
+    def remove(self, name: str, now: float) -> None:
         """Removes a server, if it is known."""
         server = self.servers.pop(name, None)
         if server is None:
@@ -81,6 +85,7 @@
         self._addresses[endpoint.address] -= 1
         if not self._addresses[endpoint.address]:
             del self._addresses[endpoint.address]
+            self._left_at[endpoint.address] = now
 
     def replace_all(self, endpoints: Iterable[Endpoint], now: float) -> None:
         """Applies a full list of endpoints.
@@ -105,12 +110,18 @@
             if now - server.unlisted_at >= RETENTION_S
         ]
         for name in expired:
-            self.remove(name)
+            self.remove(name, now)
 
-    @property
-    def node_count(self) -> int:
-        """The number of distinct node addresses among the endpoints."""
-        return len(self._addresses)
+    def count_nodes(self, now: float) -> int:
+        """Returns the number of nodes that may be running.
+
+        These are the distinct addresses of the servers that are known, or were
+        within ``NODE_MEMORY_S``.
+        """
+        for address, left_at in list(self._left_at.items()):
+            if now - left_at >= NODE_MEMORY_S:
+                del self._left_at[address]
+        return len(self._addresses) + len(self._left_at)
 
     def ready(self, service: str) -> list[KnownServer]:
         """Returns the servers of a service that accept calls."""
@@ -138,6 +149,7 @@
         by_name = self._by_service.setdefault(endpoint.service, {})
         by_name[endpoint.server] = server
         self._addresses[endpoint.address] += 1
+        self._left_at.pop(endpoint.address, None)
 
 
 def _same_process(current: Endpoint, update: Endpoint) -> bool:
--- a/papayalock/core/routing.py
+++ b/papayalock/core/routing.py
@@ -140,14 +140,14 @@
         ):
             current.endpoint = endpoint
             return
-        self.remove(endpoint.server)
+        self.remove(endpoint.server, now)
         server = Server(endpoint, now)
         self.servers[endpoint.server] = server
         self._by_service.setdefault(endpoint.service, {})[endpoint.server] = (
             server
         )
 
-    def remove(self, name: str) -> None:
+    def remove(self, name: str, now: float) -> None:
         """Removes a server, if it is known."""
         server = self.servers.pop(name, None)
         if server is not None:
@@ -157,7 +157,7 @@
         """Replaces the known servers by those of a full list."""
         listed = {endpoint.server: endpoint for endpoint in endpoints}
         for name in set(self.servers) - set(listed):
-            self.remove(name)
+            self.remove(name, now)
         for endpoint in listed.values():
             self.upsert(endpoint, now)
 
--- a/papayalock/node/accesslog.py
+++ b/papayalock/node/accesslog.py
@@ -195,7 +195,7 @@
         """
         self._metrics.count_retry(routed.service)
         now = self._clock.monotonic()
-        nodes = self._agent.placement.node_count
+        nodes = self._agent.placement.count_nodes(now)
         log.info(
             'call retried',
             extra={
@@ -244,7 +244,7 @@
         budget: SharedBudget,
         now: float,
     ) -> Fields:
-        nodes = self._agent.placement.node_count
+        nodes = self._agent.placement.count_nodes(now)
         fields: Fields = {
             'call': routed.metadata.call,
             'request': routed.request,
--- a/papayalock/node/agent.py
+++ b/papayalock/node/agent.py
@@ -49,7 +49,7 @@
         """Adds an endpoint or updates the one with the same server name."""
         ...
 
-    def remove(self, name: str) -> None:
+    def remove(self, name: str, now: float) -> None:
         """Removes the endpoint of a server."""
         ...
 
@@ -407,7 +407,7 @@
 ) -> None:
     for endpoint in reversed(delta.endpoints):
         if endpoint.state == 'left':
-            store.remove(endpoint.server)
+            store.remove(endpoint.server, now)
         else:
             store.upsert(endpoint, now)
 
--- a/papayalock/node/hedge.py
+++ b/papayalock/node/hedge.py
@@ -202,7 +202,7 @@
             now=now,
             service_s=routed.route.target_ms / MS_PER_S / 2,
             budget=self._budget,
-            nodes=self._placement.node_count,
+            nodes=self._placement.count_nodes(now),
         )
         self._progress.may_queue = (
             self._progress.may_queue or action is NextAction.WAIT
--- a/papayalock/node/hostmetrics.py
+++ b/papayalock/node/hostmetrics.py
@@ -113,7 +113,7 @@
             'version': agent.configuration.version,
             'running_s': round(now - self._started_at),
             'servers': len(agent.placement.servers),
-            'nodes': agent.placement.node_count,
+            'nodes': agent.placement.count_nodes(now),
             'jobs': load.jobs,
             'running': len(self._gate.running),
             'started': self._gate.started,
