The soak's servers refuse calls at times, and refused arrivals count as retries

Its servers never refused a call, its check counted runs only, and allowed the share of the calls of two windows together.

Change: for some periods of 6 s all servers of a service refuse 60% of what reaches them; the check counts each arrival beyond the first, and the calls of the one window that has most, as the stated target does. It is stricter in all: test_refused_arrivals_count_as_retries and test_calls_of_earlier_windows_do_not_add_up failed before.

--- a/bench/soak/backend.py
+++ b/bench/soak/backend.py
@@ -3,6 +3,7 @@
 SIGUSR1 makes it drain: its responses say that it leaves, and half of the time
 it also announces that it drains and records when the node has acknowledged
 this; it still runs the calls that arrive. From time to time it states a limit.
+For some periods all servers of a service refuse most of their calls.
 With ``--renamed`` it has a new name at each start and tells no start time.
 """
 
@@ -30,8 +31,9 @@
     REMAINING_HEADER,
     SERVER_HEADER,
 )
-from papayalock.node.http import Call, Reply
+from papayalock.node.http import OUTCOME_HEADER, Call, Reply
 from papayalock.node.listener import HttpServer, ServerLimits
+from papayalock.result import Code
 
 ANNOUNCE_S = 0.5
 MEAN_WORK_S = {'look': 0.02, 'pay': 0.03, 'history': 0.06}
@@ -43,11 +45,15 @@
 MEAN_UNLIMITED_S = 20.0
 LIMITED_S = (8.0, 12.0)
 LIMIT_PER_S = (0.5, 6.0)
+REFUSAL_PERIOD_S = 6.0
+REFUSING_SHARE = 0.25  # of the periods
+REFUSED_SHARE = 0.6  # of the calls in such a period
 LIMITS = ServerLimits(65536, 1 << 20, 4096, pipelined=2)
 OK = 200
 INTERNAL_ERROR = 500
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
+SHED = (OUTCOME_HEADER, b'%d %s' % (Code.SHED, Code.SHED.name.encode()))
 
 
 class Backend:
@@ -89,6 +95,14 @@
             headers = [(SERVER_HEADER, name), *self._notice_headers()]
             reply.send(status, headers, b'')
             return
+        name = call.header(CALL_HEADER)
+        if self._refuses():
+            self.append_record(
+                refused=name.decode(), service=self._args.service
+            )
+            headers = [(CALL_HEADER, name), SHED, *self._notice_headers()]
+            reply.send(UNAVAILABLE, headers, b'')
+            return
         number = self._record_start(call, path)
         completed = False
         try:
@@ -98,11 +112,17 @@
             self.append_record(
                 ended=number, server=self._incarnation, whole=completed
             )
-        name = call.header(CALL_HEADER)
         body = json.dumps({'echo': f'{name.decode()} {path}'}).encode()
         headers = [(CALL_HEADER, name), *self._notice_headers()]
         reply.send(status, headers, body)
 
+    def _refuses(self) -> bool:
+        """Whether to refuse a call; all servers share the periods."""
+        period = int(time.monotonic() / REFUSAL_PERIOD_S)
+        draw = random.Random(f'{self._args.service} {period}').random()
+        refusing = draw < REFUSING_SHARE
+        return refusing and self._rng.random() < REFUSED_SHARE
+
     def _notice_headers(self) -> list[tuple[bytes, bytes]]:
         headers = [(LEAVING_HEADER, b'1')] if self._draining else []
         if self._limit is not None:
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -290,30 +290,57 @@
 
 
 def check_retries_within_budget(history: History) -> Iterator[str]:
-    """In any RETRY_WINDOW_S, a service gets no more retries than its budget."""
+    """In any RETRY_WINDOW_S, a service gets no more retries than its budget.
+
+    A retry is an arrival at a server beyond the first of its call, run or
+    refused. The calls are those of the window, of the one before it or of the
+    one half a window before it, whichever has most.
+    """
     calls: dict[str, list[float]] = {}
     for record in history.attempts:
         service = SERVICE_BY_PREFIX[f'/{record.path.split("/")[1]}/']
         calls.setdefault(service, []).append(record.sent)
     retries: dict[str, list[float]] = {}
-    first_runs: set[tuple[str, str]] = set()
-    for run in sorted(history.runs, key=lambda run: run.at):
-        if (run.call, run.service) in first_runs:
-            retries.setdefault(run.service, []).append(run.at)
-        first_runs.add((run.call, run.service))
+    arrived: set[tuple[str, str]] = set()
+    for at, service, call in _arrivals(history):
+        if (call, service) in arrived:
+            retries.setdefault(service, []).append(at)
+        elif call.endswith(INNER_CALL_SUFFIX):
+            calls.setdefault(service, []).append(at)
+        arrived.add((call, service))
     for service, retry_times in retries.items():
-        for index, begin in enumerate(retry_times):
-            end_index = bisect.bisect_left(retry_times, begin + RETRY_WINDOW_S)
-            calls_sent = sum(
-                begin - RETRY_WINDOW_S <= sent < begin + RETRY_WINDOW_S
-                for sent in calls.get(service, [])
+        sent = sorted(calls.get(service, []))
+        for begin in retry_times:
+            count = _count_between(retry_times, begin)
+            calls_sent = max(
+                _count_between(sent, begin - earlier)
+                for earlier in (0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
             )
             allowed = RETRY_BUDGET_SHARE * calls_sent + RETRY_BUDGET_FLOOR
-            if end_index - index > allowed:
-                yield f'budget: {end_index - index} repeats at {service}'
+            if count > allowed:
+                yield (
+                    f'budget: {count} retries at {service} in '
+                    f'{RETRY_WINDOW_S} s, {allowed:.0f} allowed'
+                )
                 break
 
 
+def _arrivals(history: History) -> list[tuple[float, str, str]]:
+    """Returns time, service and call of all arrivals at servers, in order."""
+    runs = [(run.at, run.service, run.call) for run in history.runs]
+    refusals = [
+        (refusal.at, refusal.service, refusal.refused)
+        for refusal in history.refusals
+    ]
+    return sorted([*runs, *refusals])
+
+
+def _count_between(times: list[float], begin: float) -> int:
+    """Counts the times within RETRY_WINDOW_S from one on; they are sorted."""
+    end_index = bisect.bisect_left(times, begin + RETRY_WINDOW_S)
+    return end_index - bisect.bisect_left(times, begin)
+
+
 def check_service_recovers(history: History) -> Iterator[str]:
     """Calls succeed again MAX_RECOVERY_S after the last fault."""
     recovered_at = history.quiet_from + MAX_RECOVERY_S
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -55,6 +55,15 @@
         return self.whole and self.ended is not None and self.ended <= moment
 
 
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """An arrival of a call that a backend server refused to run."""
+
+    refused: str  # id of the call
+    service: str
+    at: float
+
+
 @dataclass(slots=True, frozen=True)
 class DrainAck:
     """When a node acknowledged that a backend server is draining."""
@@ -110,6 +119,7 @@
     control: list[str]
     attempts: list[CallRecord] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
+    refusals: list[Refusal] = field(default_factory=list)
     drains: list[DrainAck] = field(default_factory=list)
     limits: list[StatedLimit] = field(default_factory=list)
     publications: list[Publication] = field(default_factory=list)
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -12,7 +12,13 @@
 from bench.soak.cluster import Cluster
 from bench.soak.customers import find_leaks
 from bench.soak.faults import QUIET_S, Fault, draw_faults, draw_rolling_restarts
-from bench.soak.history import DrainAck, History, Run, StatedLimit
+from bench.soak.history import (
+    DrainAck,
+    History,
+    Refusal,
+    Run,
+    StatedLimit,
+)
 from bench.soak.operator import Operator
 from bench.soak.rollouts import READY_S, RolloutOperator
 
@@ -157,7 +163,7 @@
 
 
 def _read_backend_records(path: Path, history: History) -> None:
-    """Adds the runs and drains that the backend servers recorded."""
+    """Adds the runs, refusals and drains that the servers recorded."""
     acked: dict[str, float] = {}
     runs: dict[tuple[str, int], Run] = {}
     for line in path.read_text().splitlines():
@@ -166,6 +172,8 @@
             acked.setdefault(entry['drained'], entry['at'])
         elif 'limit' in entry:
             history.limits.append(StatedLimit(**entry))
+        elif 'refused' in entry:
+            history.refusals.append(Refusal(**entry))
         elif 'ended' in entry:
             run = runs[entry['server'], entry['ended']]
             run.ended = entry['at']
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -25,6 +25,7 @@
     DrainAck,
     History,
     Publication,
+    Refusal,
     RouteRead,
     Run,
     StatedLimit,
@@ -463,6 +464,26 @@
             'budget'
         }
 
+    def test_refused_arrivals_count_as_retries(self):
+        calls = [call_record(f'c-{number}') for number in range(100)]
+        runs = [run_of(record) for record in calls]
+        refusals = [Refusal(run.call, run.service, run.at) for run in runs[:81]]
+        allowed = make_history(calls, runs, refusals=refusals[:80])
+        assert not checks.find_violations(allowed)
+        found = make_history(calls, runs, refusals=refusals)
+        assert violation_kinds(found) == {'budget'}
+
+    def test_calls_of_earlier_windows_do_not_add_up(self):
+        calls = [
+            call_record(f'c-{number}', sent=sent, ended=sent + 0.1)
+            for number in range(200)
+            for sent in [101.0 if number % 2 else 95.0]
+        ]
+        runs = [run_of(record, record.sent + 0.05) for record in calls]
+        retries = [run_of(record) for record in calls[:81]]
+        found = make_history(calls, [*runs, *retries])
+        assert violation_kinds(found) == {'budget'}
+
     def test_no_call_served_after_the_last_fault(self):
         late = [
             call_record(f'c-{number}', sent=220.0, ended=220.1, status=503)
