--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -311,9 +311,9 @@
     for service, retry_times in retries.items():
         sent = sorted(calls.get(service, []))
         for begin in retry_times:
-            count = _count_between(retry_times, begin)
+            count = _count_in_window(retry_times, begin)
             calls_sent = max(
-                _count_between(sent, begin - earlier)
+                _count_in_window(sent, begin - earlier)
                 for earlier in (0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
             )
             allowed = RETRY_BUDGET_SHARE * calls_sent + RETRY_BUDGET_FLOOR
@@ -335,8 +335,11 @@
     return sorted([*runs, *refusals])
 
 
-def _count_between(times: list[float], begin: float) -> int:
-    """Counts the times within RETRY_WINDOW_S from one on; they are sorted."""
+def _count_in_window(times: list[float], begin: float) -> int:
+    """Counts the times in the RETRY_WINDOW_S that begin at a time.
+
+    :param times: in order
+    """
     end_index = bisect.bisect_left(times, begin + RETRY_WINDOW_S)
     return end_index - bisect.bisect_left(times, begin)
 
--- a/papayalock/node/accesslog.py
+++ b/papayalock/node/accesslog.py
@@ -1,9 +1,9 @@
 """The access log of a node: logs calls and counts their outcomes.
 
 Logs each call that was refused, failed or had a failed or unresponsive first
-try, each retry, and a sample of the others. A line has the id of the call, the data on
-which its servers were chosen and the age of that data, so that an engineer can
-find the cause of a failure.
+try, each retry, and a sample of the others. A line has the id of the call, the
+data on which its servers were chosen and the age of that data, so that an
+engineer can find the cause of a failure.
 """
 
 import logging
