--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -391,6 +391,7 @@
     check_permanent_routes_never_denied,
     check_failures_are_logged,
     check_processes_stay_up,
+    check_retries_within_budget,
     check_harmless_requests_are_not_quarantined,
     check_rollout_orders_bind,
     check_customers_are_identified,
@@ -408,7 +409,6 @@
     check_calls_not_cut,
     check_planned_work_fails_no_calls,
     check_deadlines_hold,
-    check_retries_within_budget,
     check_service_recovers,
     check_restarted_servers_get_calls,
 )
