Bound in bytes what a control VM keeps of the past

No order was accepted and no read answered any more, though the acknowledged versions were on the disks.

Cause: what is kept of the past was bounded by number (200 versions, 2,000 entries or 64 MB of log, 4,096 deltas and as many scopes, 100,000 audit records), so its bytes were the operator's to choose.

Change: one figure, retention.bytes (a quarter of retention.memory_mb, which the platform's template fills in; 64 MiB if neither is known), divided among versions, audit, log, deltas and scopes. Parts are kept as JSON text, each once; of all but the newest version only an undo is kept, so a change of one route among thousands costs some KB, not a manifest. A start reads no copies of the log's frames. A version that waiting nodes were told of and that was dropped since is replaced by the released one. Gauges tell each kind's bytes; compactions are logged.

Tests changed: two spied on or read parts of the ledger that moved to PartStore and VersionHistory, and compare the same things there; the routes of test_routesets have the weight 1.0 that the schema names, since kept parts are decoded now.

--- a/papayalock/config.py
+++ b/papayalock/config.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from papayalock.core.problems import Problems
+from papayalock.core.retention import retention_bytes
 from papayalock.core.schema import check_document
 from papayalock.core.tomltext import TomlError, parse_toml
 from papayalock.durations import parse_duration_ms
@@ -11,6 +12,7 @@
 from papayalock.settings import Settings
 from papayalock.texts import one_line, read_text
 
+MIN_RETENTION_BYTES = 8_388_608
 DEFAULTS = Path(__file__).with_name('defaults.toml')
 
 
@@ -107,7 +109,25 @@
         )
 
 
+def _check_retention(settings: Settings, problems: Problems) -> None:
+    cfg = settings.retention
+    if cfg.bytes and cfg.bytes < MIN_RETENTION_BYTES:
+        problems.add(
+            Code.SETTINGS,
+            'retention.bytes',
+            f'must be 0, or {MIN_RETENTION_BYTES} or more',
+        )
+    largest = retention_bytes(0, cfg.memory_mb)
+    if cfg.memory_mb and cfg.bytes > largest:
+        problems.add(
+            Code.SETTINGS,
+            'retention.bytes',
+            f'must be {largest} or less with this memory_mb',
+        )
+
+
 def _check_control(settings: Settings, problems: Problems) -> None:
+    _check_retention(settings, problems)
     if not settings.data:
         problems.add(Code.SETTINGS, 'data', 'a control VM needs a data folder')
     if settings.control.auto_members:
--- a/papayalock/control/anyzone.py
+++ b/papayalock/control/anyzone.py
@@ -49,9 +49,7 @@
 
     def _version_to_offer(self, req: SyncReq) -> VersionInfo | None:
         return (
-            self._notified_version
-            if req.version
-            else self.released_version(req.zone)
+            self._notified() if req.version else self.released_version(req.zone)
         )
 
     def _peers(self) -> list[ControlPeer]:
--- a/papayalock/control/coordinator.py
+++ b/papayalock/control/coordinator.py
@@ -9,7 +9,7 @@
 from papayalock.commands import Command, Publication
 from papayalock.control.distributor import Distributor
 from papayalock.control.endpointsync import EndpointSync
-from papayalock.control.group import RaftGroup
+from papayalock.control.group import CONFIG_GROUP, RaftGroup
 from papayalock.core.claims import Claims, shard_of
 from papayalock.core.endpoints import ExistenceTracker
 from papayalock.core.ledger import Ledger
@@ -34,7 +34,6 @@
 
 log = logging.getLogger(__name__)
 
-CONFIG_GROUP = 'config'
 OK = 200
 MAX_PROMOTE_LAG_ENTRIES = 64  # largest replication lag of a promoted VM
 TICK_S = 0.1
--- a/papayalock/control/distributor.py
+++ b/papayalock/control/distributor.py
@@ -19,6 +19,7 @@
 )
 from papayalock.core.endpoints import EndpointTable
 from papayalock.core.ledger import Ledger
+from papayalock.core.retention import RetentionBudget
 from papayalock.core.release import (
     NotYetReleased,
     Offer,
@@ -109,6 +110,7 @@
         clock: Clock,
         coalesce_ms: int,
         fetch_reports: 'FetchZoneReports',
+        budget: RetentionBudget,
     ) -> None:
         """Registers with the group for changes of the released version.
 
@@ -116,6 +118,7 @@
         :param group: the config group
         :param fetch_reports: asks the zone's other control VMs what they
             released
+        :param budget: memory for encoded deltas
         """
         self.table = table
         self.journal = journal
@@ -128,7 +131,7 @@
         self._snapshot_limiter = snapshot_limiter
         self._clock = clock
         self._fetch_reports = fetch_reports
-        self._source = DeltaSource(ledger)
+        self._source = DeltaSource(ledger, budget)
         self._coalescer = WakeCoalescer(coalesce_ms)
         self._changes = ChangeNotifier()
         self._last_released = 0
@@ -156,6 +159,11 @@
         """Returns at the next change or after ``timeout`` seconds."""
         await self._changes.wait(timeout)
 
+    @property
+    def cached_bytes(self) -> int:
+        """The memory of encoded deltas and scopes in bytes."""
+        return self._source.size
+
     # Nodes.
 
     async def sync(self, req: SyncReq) -> SyncReply:
@@ -304,6 +312,18 @@
         """
         if req.version == 0 or req.zone != self._zone:
             return self.released_version(req.zone)
+        return self._notified()
+
+    def _notified(self) -> VersionInfo | None:
+        """Returns the version of the last notification of waiting nodes.
+
+        Large versions may have pushed it out of the history since then; the
+        released one takes its place.
+        """
+        info = self._notified_version
+        if info is None or self._ledger.version_info(info.version) is not None:
+            return info
+        self._notified_version = self.released_version(self._zone)
         return self._notified_version
 
     def _needs_delta(
--- a/papayalock/control/frames.py
+++ b/papayalock/control/frames.py
@@ -19,10 +19,11 @@
 class Frames:
     """The intact frames at the start of a file.
 
-    ``size`` is the number of bytes that they take up.
+    The payloads are views of the file's contents. ``size`` is the number of
+    bytes that the frames take up.
     """
 
-    payloads: tuple[bytes, ...]
+    payloads: tuple[memoryview, ...]
     size: int
 
 
@@ -37,7 +38,7 @@
     :raises StorageError: ``DATA_DAMAGED`` when an intact frame follows a bad
         one
     """
-    payloads: list[bytes] = []
+    payloads: list[memoryview] = []
     position = 0
     while position < len(data):
         payload = _frame_at(data, position)
@@ -49,7 +50,7 @@
     return Frames(tuple(payloads), position)
 
 
-def _frame_at(data: bytes, position: int) -> bytes | None:
+def _frame_at(data: bytes, position: int) -> memoryview | None:
     """Returns the payload of the frame at a position, None when it is bad."""
     if position + HEADER.size > len(data):
         return None
@@ -57,7 +58,7 @@
     start = position + HEADER.size
     if magic != MAGIC or start + length > len(data):
         return None
-    payload = data[start : start + length]
+    payload = memoryview(data)[start : start + length]
     return payload if zlib.crc32(payload) == checksum else None
 
 
--- a/papayalock/control/group.py
+++ b/papayalock/control/group.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 from papayalock.commands import Command, decode_command, encode_command
+from papayalock.control.statepack import pack_state, unpack_state
 from papayalock.control.storage import GroupStorage
 from papayalock.core.raft import Effects, Replica
 from papayalock.messages import Entry, PeerMessage
@@ -14,12 +15,13 @@
 
 log = logging.getLogger(__name__)
 
+CONFIG_GROUP = 'config'
 MS_PER_S = 1000
 DISK_RETRY_S = 0.5
 READ_TIMEOUT_S = 0.8  # longest wait for a quorum to confirm a read
 READ_POLL_S = 0.005
 MAX_BATCH_INPUTS = 1024
-COMPACT_BYTES = 67_108_864  # applied bytes after which the log is compacted
+ENTRY_BYTES = 256  # memory of a log entry beside its payload
 
 
 class StateMachine(Protocol):
@@ -29,11 +31,11 @@
         """Applies a committed command and returns its result."""
         ...
 
-    def dump(self) -> str:
+    def dump(self) -> bytes:
         """Returns the state as JSON text, for a snapshot."""
         ...
 
-    def load(self, text: str) -> None:
+    def load(self, text: bytes) -> None:
         """Replaces the state by one that :meth:`dump` returned."""
         ...
 
@@ -53,11 +55,30 @@
         self.term = 0
 
 
+class Compaction:
+    """A snapshot that is being compressed.
+
+    ``index`` is the newest log entry in it, ``size`` its size in bytes before
+    the compression.
+    """
+
+    __slots__ = ('index', 'packed', 'size')
+
+    def __init__(
+        self, index: int, size: int, packed: 'asyncio.Task[str]'
+    ) -> None:
+        """Sets the state's position in the log, its size and its text."""
+        self.index = index
+        self.size = size
+        self.packed = packed
+
+
 class RaftGroup:
     """Drives this VM's replica of one Raft group.
 
     Messages and proposals are queued, and the task of :meth:`run` alone
-    changes the replica, its files and the state machine.
+    changes the replica, its files and the state machine. ``applied_bytes`` is
+    the memory of the entries applied since the last compaction.
     """
 
     def __init__(
@@ -68,11 +89,13 @@
         network: Network,
         clock: Clock,
         snapshot_entries: int,
+        log_bytes: int,
     ) -> None:
         """Loads the state machine from the replica's snapshot.
 
         :param snapshot_entries: applied entries after which the log is
             compacted
+        :param log_bytes: memory of applied entries after which it is, too
         """
         self.replica = replica
         self.machine = machine
@@ -82,12 +105,14 @@
         self._network = network
         self._clock = clock
         self._snapshot_entries = snapshot_entries
+        self._log_bytes = log_bytes
         self._inbox: asyncio.Queue[PeerMessage | Proposal] = asyncio.Queue()
         self._pending: dict[int, Proposal] = {}
         self._was_leader = False
         self._logged_leader = ''
-        self._applied_bytes = 0
-        machine.load(replica.log.snapshot.state)
+        self.applied_bytes = 0
+        self._compaction: Compaction | None = None
+        machine.load(unpack_state(replica.log.snapshot.state))
 
     # Methods for other tasks.
 
@@ -158,6 +183,7 @@
             self.replica.tick(self._clock.monotonic())
             await self._process_effects()
             self._finish_round()
+            await self._compact_log()
 
     async def _handle_inputs(self) -> None:
         """Handles the queued inputs, or none if half a tick passes first."""
@@ -244,9 +270,11 @@
 
     def _apply(self, effects: Effects) -> None:
         if effects.installed_snapshot is not None:
-            self.machine.load(effects.installed_snapshot.state)
+            state = effects.installed_snapshot.state
+            self.machine.load(unpack_state(state))
+            self.applied_bytes = 0
         for entry in effects.committed:
-            self._applied_bytes += len(entry.payload)
+            self.applied_bytes += len(entry.payload) + ENTRY_BYTES
             result = self.machine.apply(
                 entry.index, decode_command(entry.payload)
             )
@@ -270,7 +298,6 @@
             )
         self._was_leader = self.replica.is_leader
         self._log_leader_change()
-        self._compact_log()
         for listener in self.listeners:
             listener()
 
@@ -295,22 +322,59 @@
                 proposal.fut.set_exception(PapayalockError(code, message))
         self._pending.clear()
 
-    def _compact_log(self) -> None:
-        replica = self.replica
-        entries = replica.applied - replica.log.snapshot.index
-        large = self._applied_bytes >= COMPACT_BYTES
-        if entries < self._snapshot_entries and not (large and entries):
+    async def _compact_log(self) -> None:
+        """Replaces the applied entries by a snapshot, if they are many.
+
+        Compressing the state takes long, so a thread does it while the group
+        goes on. Entries that are applied meanwhile stay in the log.
+        """
+        if self._compaction is None:
+            if self._is_compaction_due():
+                self._start_compaction()
+            return
+        if not self._compaction.packed.done():
             return
-        self._applied_bytes = 0
-        snapshot = replica.compact(self.machine.dump(), replica.applied)
+        compaction = self._compaction
+        self._compaction = None
+        if compaction.index > self.replica.log.snapshot.index:
+            await self._write_snapshot(compaction)
+
+    def _is_compaction_due(self) -> bool:
+        entries = self.replica.applied - self.replica.log.snapshot.index
+        large = self.applied_bytes >= self._log_bytes
+        return entries >= self._snapshot_entries or (large and entries > 0)
+
+    def _start_compaction(self) -> None:
+        self.applied_bytes = 0
+        state = self.machine.dump()
+        packing = asyncio.to_thread(pack_state, state)
+        self._compaction = Compaction(
+            self.replica.applied, len(state), asyncio.create_task(packing)
+        )
+
+    async def _write_snapshot(self, compaction: Compaction) -> None:
+        replica = self.replica
+        packed = compaction.packed.result()
+        entries = compaction.index - replica.log.snapshot.index
+        snapshot = replica.compact(packed, compaction.index)
         rest = replica.log.entries_between(
             snapshot.index + 1, replica.log.last_index, replica.log.last_index
         )
         try:
-            self._storage.save_snapshot(snapshot, rest)
+            await asyncio.to_thread(self._storage.save_snapshot, snapshot, rest)
         except OSError as exc:
             self.disk_full = True
             log.error(
                 'snapshot not written',
                 extra={'code': Code.DISK_FULL, 'reason': str(exc)},
             )
+            return
+        log.info(
+            'log compacted',
+            extra={
+                'group': replica.cfg.group,
+                'entries': entries,
+                'state_bytes': compaction.size,
+                'packed_bytes': len(packed),
+            },
+        )
--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -13,16 +13,13 @@
 
 from papayalock.clock import SystemClock
 from papayalock.control.anyzone import AnyZoneDistributor
-from papayalock.control.coordinator import (
-    CONFIG_GROUP,
-    Coordinator,
-    claims_group_name,
-)
+from papayalock.control.coordinator import Coordinator, claims_group_name
 from papayalock.control.disk import FileDisk
 from papayalock.control.distributor import Distributor
 from papayalock.control.endpointsync import EndpointSync
 from papayalock.control.httpprotocol import LimitedHttpProtocol
-from papayalock.control.group import RaftGroup, StateMachine
+from papayalock.control.group import CONFIG_GROUP, RaftGroup, StateMachine
+from papayalock.control.groupfactory import make_group
 from papayalock.control.identity import Identity, load_or_create_identity
 from papayalock.control import listeners
 from papayalock.control.membermanager import MemberManager
@@ -32,7 +29,6 @@
 from papayalock.control.rolloutmanager import RolloutManager
 from papayalock.control.server import ControlServer
 from papayalock.control.status import StatusReader
-from papayalock.control.storage import GroupStorage
 from papayalock.control.versionjournal import VersionJournal
 from papayalock.control.zonereports import ZoneReportClient
 from papayalock.core.claims import Claims
@@ -41,7 +37,7 @@
 from papayalock.core.endpoints import EndpointTable, ExistenceTracker
 from papayalock.core.ledger import Ledger
 from papayalock.core.memberpolicy import MemberPolicy
-from papayalock.core.raft import Replica, ReplicaConfig
+from papayalock.core.retention import RetentionBudget, retention_bytes
 from papayalock.dialect import OperatorDialect
 from papayalock.messages import JoinReq, Member
 from papayalock.node.http import Call, Reply
@@ -89,9 +85,14 @@
         )
         self.transport = PeerTransport(addresses)
         self.pool = Pool(CONNECT_MS, IDLE_MS, POOLED_PER_ADDRESS)
+        retention = settings.retention
+        self._budget = RetentionBudget(
+            retention_bytes(retention.bytes, retention.memory_mb)
+        )
         ledger = Ledger(
             history=settings.distribution.history,
             audit_records=settings.audit.retention_records,
+            budget=self._budget,
         )
         shards = [
             claims_group_name(shard) for shard in range(settings.claims.shards)
@@ -237,29 +238,17 @@
             self._http_server.should_exit = True
 
     def _make_group(self, name: str, machine: StateMachine) -> RaftGroup:
-        cfg = self._settings.group
-        storage = GroupStorage(self._disk, name)
-        restored = storage.load(self._identity.first)
-        replica_cfg = ReplicaConfig(
+        groups = 1 + self._settings.claims.shards
+        return make_group(
             name,
-            self._identity.member,
-            tick_ms=cfg.tick_ms,
-            election_ms=cfg.election_ms,
-            lease_ms=cfg.lease_ms,
-            drift_percent=cfg.drift_percent,
-            append_entries=cfg.append_entries,
-            eager_commit=name == CONFIG_GROUP,
-        )
-        replica = Replica(
-            replica_cfg, restored, self._rng, self._clock.monotonic()
-        )
-        return RaftGroup(
-            replica,
-            storage,
+            self._identity,
             machine,
+            self._settings.group,
+            self._disk,
             self.transport,
             self._clock,
-            cfg.snapshot_entries,
+            self._rng,
+            self._budget.log // groups,
         )
 
     def _load_identity(self) -> Identity:
@@ -329,6 +318,7 @@
             self._clock,
             distribution.coalesce_ms,
             report_client,
+            self._budget,
         )
 
 
--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -294,6 +294,12 @@
             'leased': int(leased),
             'label': coordinator.ledger.route_sets.label,
             'rollouts': self._rollouts.running,
+            'history_versions': len(coordinator.ledger.history),
+            'history_bytes': coordinator.ledger.history.size,
+            'audit_bytes': coordinator.ledger.audit.size,
+            'delta_bytes': coordinator.distributor.cached_bytes,
+            'log_bytes': coordinator.config_group.applied_bytes,
+            'snapshot_bytes': len(replica.log.snapshot.state),
         }
 
     async def _read_status(self, request: Request) -> Response:
--- a/papayalock/control/status.py
+++ b/papayalock/control/status.py
@@ -116,12 +116,7 @@
         ]
 
     def _versions(self, query: Fields) -> VersionList:
-        return VersionList(
-            [
-                msgspec.structs.replace(info, parts={})
-                for info in self._coordinator.ledger.versions
-            ]
-        )
+        return VersionList(self._coordinator.ledger.history.summaries)
 
     def _version(self, query: Fields) -> VersionDetail:
         ledger = self._coordinator.ledger
--- a/papayalock/control/storage.py
+++ b/papayalock/control/storage.py
@@ -1,5 +1,7 @@
 """Durable storage of one Raft replica: hard state, log and snapshot."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from papayalock.control.frames import decode_frames, encode_frame
@@ -52,10 +54,8 @@
         if frames.size < len(log):
             self._disk.truncate(self._log, frames.size)
         self._size = frames.size
-        entries = self._replay(
-            [_decode(self._log, payload) for payload in frames.payloads],
-            snapshot,
-        )
+        batches = (_decode(self._log, payload) for payload in frames.payloads)
+        entries = self._replay(batches, snapshot)
         return RestoredState(self._hard, snapshot, entries)
 
     def save(self, effects: Effects) -> None:
@@ -120,7 +120,9 @@
                 Code.DATA_FORMAT, f'{self._snapshot}: {exc}'
             ) from exc
 
-    def _replay(self, batches: list[Batch], snapshot: Snapshot) -> list[Entry]:
+    def _replay(
+        self, batches: Iterable[Batch], snapshot: Snapshot
+    ) -> list[Entry]:
         entries: dict[int, Entry] = {}
         for batch in batches:
             self._hard = HardState(batch.term, batch.vote, batch.commit)
@@ -130,12 +132,12 @@
                     for index, entry in entries.items()
                     if index < batch.truncate_from
                 }
-            entries.update((entry.index, entry) for entry in batch.entries)
-        log_tail = [
-            entries[index]
-            for index in sorted(entries)
-            if index > snapshot.index
-        ]
+            entries.update(
+                (entry.index, entry)
+                for entry in batch.entries
+                if entry.index > snapshot.index
+            )
+        log_tail = [entries[index] for index in sorted(entries)]
         for expected, entry in enumerate(log_tail, start=snapshot.index + 1):
             if entry.index != expected:
                 raise StorageError(
@@ -145,7 +147,7 @@
         return log_tail
 
 
-def _decode(name: str, payload: bytes) -> Batch:
+def _decode(name: str, payload: memoryview) -> Batch:
     try:
         return _BATCH.decode(payload)
     except msgspec.MsgspecError as exc:
--- a/papayalock/control/versionjournal.py
+++ b/papayalock/control/versionjournal.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Iterator
 
 import msgspec
 
@@ -98,16 +99,13 @@
         )
         self._written = len(records)
 
-    def _load(self) -> list[HeldRecord]:
+    def _load(self) -> Iterator[HeldRecord]:
         data = self._disk.read(RECORDS_FILE) or b''
         frames = decode_frames(RECORDS_FILE, data)
         if frames.size < len(data):
             self._disk.truncate(RECORDS_FILE, frames.size)
-        return [
-            record
-            for payload in frames.payloads
-            for record in _RECORDS.decode(payload)
-        ]
+        for payload in frames.payloads:
+            yield from _RECORDS.decode(payload)
 
     def _record_outage(self, alive_ms: int) -> None:
         last_ms = self.history.records[-1].at_ms if self.history.records else 0
--- a/papayalock/core/audit.py
+++ b/papayalock/core/audit.py
@@ -2,6 +2,7 @@
 
 import bisect
 import hashlib
+from collections import deque
 from collections.abc import Callable, Iterable
 from typing import Literal
 
@@ -11,6 +12,7 @@
 from papayalock.result import Code
 
 DIGEST_BYTES = 32
+RECORD_BYTES = 512  # memory of an audit record beside its detail
 MAX_RELEASE_TIMES = 1000  # newest releases, to detect late applies
 HeldKind = Literal['release', 'complete', 'attach', 'detach', 'late', 'outage']
 
@@ -43,17 +45,34 @@
 
 
 class AuditTrail:
-    """The newest records of the audit trail."""
+    """The newest records of the audit trail.
 
-    __slots__ = ('_max_records', 'records')
+    ``size`` is the memory in bytes that they take up.
+    """
 
-    def __init__(self, max_records: int) -> None:
-        """Starts empty.
+    __slots__ = ('_max_bytes', '_max_records', 'records', 'size')
 
-        :param max_records: number of records kept; the oldest are dropped first
+    def __init__(self, max_records: int, max_bytes: int) -> None:
+        """Starts empty; the oldest records are dropped first.
+
+        :param max_records: number of records kept
+        :param max_bytes: memory of the records kept
         """
         self.records: list[AuditRecord] = []
+        self.size = 0
         self._max_records = max_records
+        self._max_bytes = max_bytes
+
+    def restore(self, records: list[AuditRecord]) -> None:
+        """Replaces the records by those of a snapshot."""
+        previous = ''
+        for record in records:
+            if record.previous == previous:
+                record.previous = previous  # one object for both
+            previous = record.digest
+        self.records = records
+        self.size = sum(map(_record_size, records))
+        self._prune()
 
     def add(
         self,
@@ -78,8 +97,23 @@
         )
         record.digest = record_digest(record)
         self.records.append(record)
-        if len(self.records) > self._max_records:
-            del self.records[0]
+        self.size += _record_size(record)
+        self._prune()
+
+    def _prune(self) -> None:
+        """Drops the oldest records; the newest one carries the chain on."""
+        count = 0
+        while len(self.records) - count > 1 and (
+            len(self.records) - count > self._max_records
+            or self.size > self._max_bytes
+        ):
+            self.size -= _record_size(self.records[count])
+            count += 1
+        del self.records[:count]
+
+
+def _record_size(record: AuditRecord) -> int:
+    return RECORD_BYTES + len(record.detail)
 
 
 class HeldVersionJournal:
@@ -114,9 +148,9 @@
         self._newest = 0
         self._completed = 0
 
-    def restore(self, records: list[HeldRecord]) -> None:
+    def restore(self, records: Iterable[HeldRecord]) -> None:
         """Restores the journal from the records on disk."""
-        self.records = records[-self._max_records :]
+        self.records = list(deque(records, self._max_records))
         for record in self.records:
             if record.kind == 'release':
                 self._remember_release(record.version, record.at_ms)
--- a/papayalock/core/claims.py
+++ b/papayalock/core/claims.py
@@ -43,11 +43,11 @@
             return self._finish(command)
         return None
 
-    def dump(self) -> str:
+    def dump(self) -> bytes:
         """Returns the state as JSON text."""
-        return msgspec.json.encode(ClaimState(self.records)).decode()
+        return msgspec.json.encode(ClaimState(self.records))
 
-    def load(self, text: str) -> None:
+    def load(self, text: bytes) -> None:
         """Replaces the state by a dumped one; an empty text changes nothing."""
         if text:
             self.records = msgspec.json.decode(text, type=ClaimState).records
--- a/papayalock/core/derive.py
+++ b/papayalock/core/derive.py
@@ -12,10 +12,19 @@
 Manifest = dict[str, str]
 
 
+def encode_part(part: Part) -> bytes:
+    """Returns a part as JSON text, the same for equal parts."""
+    return msgspec.json.encode(part, order='deterministic')
+
+
+def encoded_digest(text: bytes) -> str:
+    """Returns the content digest of an encoded part."""
+    return hashlib.blake2b(text, digest_size=DIGEST_BYTES).hexdigest()
+
+
 def part_digest(part: Part) -> str:
     """Returns the content digest of a part."""
-    encoded = msgspec.json.encode(part, order='deterministic')
-    return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).hexdigest()
+    return encoded_digest(encode_part(part))
 
 
 def manifest_digest(manifest: Manifest) -> str:
@@ -96,12 +105,6 @@
     )
 
 
-def in_scope(part: Part, service: str, extra: Iterable[str]) -> bool:
-    """Whether a node of ``service`` holds a part.
-
-    It holds the shared parts, the part of its own service, those of services
-    that list it as a caller, and those it subscribed to on demand.
-    """
-    if part.shared or part.service == service or part.service in extra:
-        return True
-    return service in part.callers and ANYONE not in part.callers
+def lists_caller(callers: Container[str], service: str) -> bool:
+    """Whether the callers of a service name another one, not just anyone."""
+    return service in callers and ANYONE not in callers
--- a/papayalock/core/distribute.py
+++ b/papayalock/core/distribute.py
@@ -1,18 +1,20 @@
 """Builds the deltas sent to nodes and bounds the load of reconnect storms."""
 
-from collections import OrderedDict
 from dataclasses import dataclass
 
 import msgspec
 
-from papayalock.core.derive import Manifest, in_scope, manifest_digest
+from papayalock.core.derive import Manifest, manifest_digest
 from papayalock.core.ledger import Ledger
 from papayalock.core.partnames import is_shared, reachable_service
-from papayalock.messages import Delta, SyncReq, VersionInfo
+from papayalock.core.retention import RetentionBudget
+from papayalock.core.sizedcache import SizedCache
+from papayalock.messages import SyncReq, VersionInfo
 from papayalock.ports import Random
 
 MS_PER_S = 1000
-MAX_CACHED_DELTAS = 4096
+ENTRY_BYTES = 512  # memory of a cached entry beside its content
+SCOPE_PART_BYTES = 64  # memory of one part's entry in a scope
 ScopeKey = tuple[int, str, tuple[str, ...]]
 
 
@@ -40,6 +42,9 @@
     )
 
 
+DeltaKey = tuple[HeldConfig, int]
+
+
 @dataclass(slots=True, frozen=True)
 class Scope:
     """The parts that nodes of one kind hold at one version."""
@@ -49,18 +54,42 @@
     services: frozenset[str]  # those whose endpoints these nodes need
 
 
+class EncodedDelta(msgspec.Struct):
+    """A ``Delta`` message whose parts are already encoded."""
+
+    version: int
+    base: int
+    digest: str
+    parts: list[msgspec.Raw]
+    removed: list[str]
+
+
 class DeltaSource:
-    """Builds deltas, each encoded once for all nodes in the same state."""
+    """Builds deltas, each encoded once for all nodes in the same state.
 
-    __slots__ = ('_cache', '_ledger', '_scopes')
+    ``size`` is the memory in bytes of what is kept for reuse.
+    """
 
-    def __init__(self, ledger: Ledger) -> None:
-        """Serves the versions of one ledger."""
+    __slots__ = ('_deltas', '_ledger', '_scopes')
+
+    def __init__(
+        self, ledger: Ledger, budget: RetentionBudget | None = None
+    ) -> None:
+        """Serves the versions of one ledger.
+
+        :param budget: memory for deltas and scopes
+        """
+        budget = budget or RetentionBudget()
         self._ledger = ledger
-        self._cache: OrderedDict[tuple[HeldConfig, int], msgspec.Raw] = (
-            OrderedDict()
+        self._deltas: SizedCache[DeltaKey, msgspec.Raw] = SizedCache(
+            budget.deltas
         )
-        self._scopes: OrderedDict[ScopeKey, Scope] = OrderedDict()
+        self._scopes: SizedCache[ScopeKey, Scope] = SizedCache(budget.scopes)
+
+    @property
+    def size(self) -> int:
+        """The memory of the cached deltas and scopes in bytes."""
+        return self._deltas.size + self._scopes.size
 
     def scope(
         self, info: VersionInfo, service: str, extra: tuple[str, ...]
@@ -70,9 +99,8 @@
         scope = self._scopes.get(key)
         if scope is None:
             scope = self._build_scope(info, service, extra)
-            self._scopes[key] = scope
-            if len(self._scopes) > MAX_CACHED_DELTAS:
-                self._scopes.popitem(last=False)
+            size = ENTRY_BYTES + SCOPE_PART_BYTES * len(scope.manifest)
+            self._scopes.put(key, scope, size)
         return scope
 
     def _build_scope(
@@ -82,7 +110,7 @@
         manifest = {
             name: digest
             for name, digest in info.parts.items()
-            if is_shared(name) or in_scope(parts[digest], service, extra)
+            if is_shared(name) or parts.in_scope(name, digest, service, extra)
         }
         services = frozenset(map(reachable_service, manifest)) - {''}
         return Scope(manifest, manifest_digest(manifest), services)
@@ -106,17 +134,14 @@
     def encoded_delta(self, held: HeldConfig, info: VersionInfo) -> msgspec.Raw:
         """Returns the encoded delta from what a node holds to a version."""
         key = (held, info.version)
-        encoded = self._cache.get(key)
+        encoded = self._deltas.get(key)
         if encoded is None:
-            encoded = msgspec.Raw(
-                msgspec.json.encode(self._build_delta(held, info))
-            )
-            self._cache[key] = encoded
-            if len(self._cache) > MAX_CACHED_DELTAS:
-                self._cache.popitem(last=False)
+            text = msgspec.json.encode(self._build_delta(held, info))
+            encoded = msgspec.Raw(text)
+            self._deltas.put(key, encoded, ENTRY_BYTES + len(text))
         return encoded
 
-    def _build_delta(self, held: HeldConfig, info: VersionInfo) -> Delta:
+    def _build_delta(self, held: HeldConfig, info: VersionInfo) -> EncodedDelta:
         scope = self.target_scope(held, info)
         target = scope.manifest
         base_scope = self.base_scope(held)
@@ -124,12 +149,14 @@
         changed = [
             name for name, digest in target.items() if base.get(name) != digest
         ]
-        return Delta(
+        parts = self._ledger.parts
+        return EncodedDelta(
             version=info.version,
             base=held.version if base_scope else 0,
             digest=scope.digest,
             parts=[
-                self._ledger.parts[target[name]] for name in sorted(changed)
+                msgspec.Raw(parts.text(target[name]))
+                for name in sorted(changed)
             ],
             removed=sorted(set(base) - set(target)),
         )
--- a/papayalock/core/ledger.py
+++ b/papayalock/core/ledger.py
@@ -8,15 +8,17 @@
     Manifest,
     derive_parts,
     manifest_digest,
-    part_digest,
     rules_by_service,
 )
+from papayalock.core.history import HistoryState, Undo, VersionHistory
 from papayalock.core.inventory import (
     Inventory,
     check_inventory,
     merged_register,
 )
 from papayalock.core.partnames import is_shared
+from papayalock.core.partstore import PartStore
+from papayalock.core.retention import RetentionBudget
 from papayalock.core.rollouts import (
     RolloutBook,
     RolloutResult,
@@ -53,12 +55,13 @@
     rules: Rules
     existing: list[str]
     versions: list[VersionInfo]
-    parts: dict[str, Part]
+    parts: dict[str, msgspec.Raw]
     requests: dict[str, SubmitRes]
     fingerprints: dict[str, str]
     audit: list[AuditRecord]
     book: RouteSetState = msgspec.field(default_factory=RouteSetState)
     versions_by_service: VersionsByService = msgspec.field(default_factory=dict)
+    undos: list[Undo] = msgspec.field(default_factory=list)
 
 
 class Ledger:
@@ -68,45 +71,47 @@
     same state.
     """
 
-    def __init__(self, *, history: int, audit_records: int) -> None:
+    def __init__(
+        self,
+        *,
+        history: int,
+        audit_records: int,
+        budget: RetentionBudget | None = None,
+    ) -> None:
         """Starts empty.
 
-        :param history: number of versions whose parts are kept
-        :param audit_records: number of audit records kept
+        :param history: maximum number of versions whose parts are kept
+        :param audit_records: maximum number of audit records kept
+        :param budget: memory for the versions and for the audit records
         """
+        budget = budget or RetentionBudget()
         self.inventory: Inventory | None = None
         self.existing: list[str] = []
-        self.versions: list[VersionInfo] = []
-        self.parts: dict[str, Part] = {}
-        self.audit = AuditTrail(audit_records)
+        self.history = VersionHistory(history, budget.versions)
+        self.audit = AuditTrail(audit_records, budget.audit)
         self.route_sets = RouteSetStore()
         self.rollouts = RolloutBook()
-        self._history = history
         self._requests: dict[str, SubmitRes] = {}
         self._fingerprints: dict[str, str] = {}
 
     @property
     def version(self) -> int:
         """The newest accepted version; 0 before the first."""
-        return self.versions[-1].version if self.versions else 0
+        newest = self.history.newest
+        return newest.version if newest else 0
+
+    @property
+    def parts(self) -> PartStore:
+        """The parts of the kept versions."""
+        return self.history.parts
 
     def version_at(self, index: int) -> VersionInfo | None:
         """Returns the newest version whose log index is at most ``index``."""
-        return next(
-            (info for info in reversed(self.versions) if info.index <= index),
-            None,
-        )
+        return self.history.find_by_index(index)
 
     def version_info(self, version: int) -> VersionInfo | None:
         """Returns a kept version, or None."""
-        if not self.versions:
-            return None
-        position = version - self.versions[0].version
-        return (
-            self.versions[position]
-            if 0 <= position < len(self.versions)
-            else None
-        )
+        return self.history.find(version)
 
     def version_parts(self, info: VersionInfo) -> dict[str, Part]:
         """Returns the parts of a kept version by name."""
@@ -128,24 +133,26 @@
             return self._audit_member_change(index, command)
         return None
 
-    def dump(self) -> str:
+    def dump(self) -> bytes:
         """Returns the state as JSON text."""
         inventory = self.inventory
+        history = self.history.dump()
         state = LedgerState(
             register=inventory.register if inventory else None,
             rules=inventory.rules if inventory else Rules(),
             existing=self.existing,
-            versions=self.versions,
-            parts=self.parts,
+            versions=history.versions,
+            parts=history.parts,
             requests=self._requests,
             fingerprints=self._fingerprints,
             audit=self.audit.records,
             book=self.route_sets.state,
             versions_by_service=self.rollouts.services,
+            undos=history.undos,
         )
-        return msgspec.json.encode(state).decode()
+        return msgspec.json.encode(state)
 
-    def load(self, text: str) -> None:
+    def load(self, text: bytes) -> None:
         """Replaces the state by a dumped one; an empty text changes nothing."""
         if not text:
             return
@@ -154,11 +161,12 @@
             Inventory(state.register, state.rules) if state.register else None
         )
         self.existing = state.existing
-        self.versions = state.versions
-        self.parts = state.parts
+        self.history.load(
+            HistoryState(state.versions, state.parts, state.undos)
+        )
         self._requests = state.requests
         self._fingerprints = state.fingerprints
-        self.audit.records = state.audit
+        self.audit.restore(state.audit)
         self.route_sets.state = state.book
         self.rollouts.services = state.versions_by_service
 
@@ -257,28 +265,24 @@
                 command.at_ms,
                 getattr(command, 'operator', ''),
                 'rollout',
-                {**self._newest_parts(), **dict([self._store_part(part)])},
+                {
+                    **self.history.newest_parts,
+                    part.service: self.parts.add(part),
+                },
                 self.rollouts.describe(command.service),
             )
         return response
 
     def _changed_manifest(self, changes: PartChanges) -> Manifest:
         """Returns the manifest of the newest version with changed parts."""
-        manifest = dict(self._newest_parts())
+        manifest = dict(self.history.newest_parts)
         for name in changes.removed:
             manifest.pop(name, None)
-        manifest.update(self._store_part(part) for part in changes.changed)
+        manifest.update(
+            (part.service, self.parts.add(part)) for part in changes.changed
+        )
         return manifest
 
-    def _newest_parts(self) -> Manifest:
-        return self.versions[-1].parts if self.versions else {}
-
-    def _store_part(self, part: Part) -> tuple[str, str]:
-        """Keeps a part by its digest; returns its name and digest."""
-        digest = part_digest(part)
-        self.parts.setdefault(digest, part)
-        return part.service, digest
-
     def _audit_member_change(self, index: int, command: SetMember) -> SubmitRes:
         detail = f'{command.action} {command.member.member}'
         self.audit.add(
@@ -302,7 +306,7 @@
         """Adds a version; only the touched services are derived again."""
         if self.inventory is None:
             return
-        previous = self._newest_parts()
+        previous = self.history.newest_parts
         manifest = self._derive(self.inventory, previous, touched)
         manifest.update(
             (name, digest)
@@ -320,7 +324,7 @@
         manifest: Manifest,
         detail: str = '',
     ) -> None:
-        previous = self._newest_parts()
+        previous = self.history.newest_parts
         info = VersionInfo(
             version=self.version + 1,
             index=index,
@@ -329,7 +333,7 @@
             cause=cause,
             parts=manifest,
         )
-        self.versions.append(info)
+        self.history.record(info)
         self.audit.add(
             index,
             at_ms,
@@ -338,8 +342,6 @@
             operator,
             detail or describe_change(previous, manifest),
         )
-        if len(self.versions) > self._history:
-            self._prune_versions()
 
     def _derive(
         self, inventory: Inventory, previous: Manifest, touched: set[str] | None
@@ -357,21 +359,9 @@
             if part is None:
                 manifest[name] = previous[name]
                 continue
-            manifest[name] = self._store_part(part)[1]
+            manifest[name] = self.parts.add(part)
         return manifest
 
-    def _prune_versions(self) -> None:
-        while len(self.versions) > self._history:
-            oldest = self.versions.pop(0)
-            following = self.versions[0].parts
-            for name, digest in oldest.parts.items() - following.items():
-                if not self._is_kept(name, digest):
-                    self.parts.pop(digest, None)
-
-    def _is_kept(self, name: str, digest: str) -> bool:
-        """Whether a kept version has a part; its digest covers its name."""
-        return any(info.parts.get(name) == digest for info in self.versions)
-
 
 def submit_fingerprint(command: Submit) -> str:
     """Returns a digest of a submission's content, without its time."""
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -163,6 +163,29 @@
     held_records: Annotated[int, Meta(ge=100, le=10000000)]
 
 
+class RetentionSettings(Struct):
+    """
+    Memory of a control VM for past state.
+    """
+
+    memory_mb: Annotated[
+        float,
+        Meta(
+            description='Memory that the process may use; 0 if it is not known.',
+            ge=0.0,
+            le=16777216.0,
+        ),
+    ]
+    bytes: Annotated[
+        int,
+        Meta(
+            description='Memory for past versions, the log, the audit trail and encoded deltas; 0 for a quarter of memory_mb.',
+            ge=0,
+            le=1099511627776,
+        ),
+    ]
+
+
 class LogSettings(Struct):
     """
     Logs.
@@ -327,6 +350,7 @@
     retry: RetrySettings
     claims: ClaimSettings
     audit: AuditSettings
+    retention: RetentionSettings
     log: LogSettings
     hosts: HostSettings
     rollouts: RolloutSettings
--- a/test/test_anyzone.py
+++ b/test/test_anyzone.py
@@ -3,9 +3,12 @@
 import asyncio
 import random
 
+import msgspec
+
 from papayalock.control.anyzone import AnyZoneDistributor
-from papayalock.core.distribute import SnapshotLimiter
+from papayalock.core.distribute import SnapshotLimiter, WakeCoalescer
 from papayalock.core.endpoints import EndpointTable
+from papayalock.core.retention import RetentionBudget
 from papayalock.messages import Endpoint, Publish, ServicePolicy, SyncReq
 from papayalock.result import Code, PapayalockError
 from test.cluster import MemoryDisk
@@ -54,6 +57,7 @@
             self.clock,
             0,
             None,
+            RetentionBudget(),
         )
         self.distributor.read_index = self.read_index
 
@@ -161,7 +165,7 @@
 
     def test_a_new_version_wakes_a_pending_poll(self):
         async def scenario(harness):
-            info = harness.group.machine.versions[-1]
+            info = harness.group.machine.history.newest
             scope = harness.distributor._source.scope(info, '', ())
             poll = asyncio.create_task(
                 harness.sync(
@@ -185,7 +189,7 @@
 
         async def scenario(harness):
             attach_servers(harness, 'floor', 'spare')
-            info = harness.group.machine.versions[-1]
+            info = harness.group.machine.history.newest
             scope = harness.distributor._source.scope(info, '', ())
             await harness.group.propose(Publish(route_set=change))
             await asyncio.sleep(0.1)
@@ -220,3 +224,20 @@
             return [endpoint.server for endpoint in reply.endpoints.endpoints]
 
         assert run_with_distributor(scenario) == ['i-floor']
+
+    # Guards against a poll that asks for parts that are no longer kept.
+    def test_a_notified_version_that_was_dropped_is_replaced(self):
+        async def scenario(harness):
+            harness.distributor._coalescer = WakeCoalescer(60_000)
+            harness.distributor._coalescer.record_wake(
+                harness.clock.monotonic()
+            )
+            harness.group.machine.history.max_versions = 2
+            for label in range(4, 8):
+                change = route_set(label, label - 1, route(timeout_ms=label))
+                await harness.group.propose(Publish(route_set=change))
+            kept = harness.group.machine.version_info(1)
+            reply = await harness.sync(version=1, digest='unknown')
+            return kept, reply.code, msgspec.json.decode(reply.delta)['version']
+
+        assert run_with_distributor(scenario) == (None, Code.DONE, 5)
--- a/test/test_group.py
+++ b/test/test_group.py
@@ -25,7 +25,9 @@
         raise AssertionError('a single replica has no peer to send to')
 
 
-def make_group(disk: MemoryDisk, snapshot_entries: int = 1000) -> RaftGroup:
+def make_group(
+    disk: MemoryDisk, snapshot_entries: int = 1000, log_bytes: int = 1 << 26
+) -> RaftGroup:
     storage = GroupStorage(disk, 'config')
     replica = Replica(
         ReplicaConfig('config', 'a'),
@@ -40,6 +42,7 @@
         NoNetwork(),
         LoopClock(),
         snapshot_entries,
+        log_bytes,
     )
 
 
--- a/test/test_ledger.py
+++ b/test/test_ledger.py
@@ -122,8 +122,8 @@
                 == Code.DONE
             )
             assert (
-                complete.ledger.versions[-1].parts
-                == parts.ledger.versions[-1].parts
+                complete.ledger.history.newest_parts
+                == parts.ledger.history.newest_parts
             )
 
     def test_a_service_can_be_removed(self):
@@ -133,7 +133,7 @@
             Register(mesh='m', services=QURESHI.register.services[:1]), Rules()
         )
         assert self.partial(driver, rest, ('rider-ledger',)).code == Code.DONE
-        assert set(driver.ledger.versions[-1].parts) == {'enrol-desk'}
+        assert set(driver.ledger.history.newest_parts) == {'enrol-desk'}
 
     def test_removing_all_services_is_refused(self):
         driver = LedgerDriver()
@@ -179,7 +179,7 @@
         driver = LedgerDriver(history=5)
         for number in range(40):
             driver.submit(with_slots(QURESHI, number + 1))
-        assert len(driver.ledger.versions) == 5
+        assert len(driver.ledger.history) == 5
         assert len(driver.ledger.parts) <= 10
         assert driver.ledger.version_info(35) is None
         assert driver.ledger.version_info(36).version == 36
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -164,7 +164,7 @@
         ledger = ledger_with(order())
         publication = Publish(kind='publish', route_set=route_set(1, 0))
         ledger.apply(9, publication)
-        parts = ledger.version_parts(ledger.versions[-1]).values()
+        parts = ledger.version_parts(ledger.history.newest).values()
         assert HostRouteTable(parts).versions[SERVICE].rollout.target == 'v2'
 
 
--- a/test/test_routesets.py
+++ b/test/test_routesets.py
@@ -4,7 +4,7 @@
 import pytest
 
 from papayalock.core.apply import Applied, Configuration, Rejected
-from papayalock.core.derive import manifest_digest, part_digest
+from papayalock.core.derive import encode_part, manifest_digest
 from papayalock.core.ledger import Ledger
 from papayalock.core.routesets import RouteSetStore, validate_route_set
 from papayalock.messages import (
@@ -29,7 +29,7 @@
         'target_ms': 300,
         'rank': 1,
         'tries': 2,
-        'shares': [Share(service, 1)],
+        'shares': [Share(service, 1.0)],
         **changes,
     }
     return HostRoute(**fields)
@@ -171,7 +171,7 @@
         return ledger.apply(index, Publish(route_set=routes))
 
     def delta(self, ledger: Ledger, base: int = 0) -> Delta:
-        info = ledger.versions[-1]
+        info = ledger.history.newest
         return Delta(
             version=info.version,
             base=base,
@@ -199,7 +199,7 @@
             one for one in delta.parts if one.service != 'policy/floor'
         ]
         kept = {one.service for one in delta.parts}
-        info = ledger.versions[-1]
+        info = ledger.history.newest
         delta.digest = manifest_digest(
             {
                 name: digest
@@ -239,9 +239,9 @@
 
         def spy(part):
             digested.append(part.service)
-            return part_digest(part)
+            return encode_part(part)
 
-        monkeypatch.setattr('papayalock.core.ledger.part_digest', spy)
+        monkeypatch.setattr('papayalock.core.partstore.encode_part', spy)
         ledger.apply(2, ledger.route_sets.publish_command(routes))
         assert [name for name in digested if name.startswith('route/')] == [
             'route/r0'
@@ -252,8 +252,8 @@
         as_a_whole, _ = self.revised(5)
         by_revision.apply(2, by_revision.route_sets.publish_command(routes))
         self.publish(as_a_whole, 2, routes)
-        assert by_revision.versions[-1].parts == as_a_whole.versions[-1].parts
-        assert by_revision.parts == as_a_whole.parts
+        assert by_revision.history.newest == as_a_whole.history.newest
+        assert dict(by_revision.parts) == dict(as_a_whole.parts)
 
     def test_parts_are_kept_as_long_as_a_version_that_has_them(self):
         ledger = Ledger(history=3, audit_records=10)
@@ -265,13 +265,15 @@
             ledger.apply(label, ledger.route_sets.publish_command(routes))
             assert ledger.parts.keys() == {
                 digest
-                for info in ledger.versions
-                for digest in info.parts.values()
+                for summary in ledger.history.summaries
+                for digest in ledger.version_info(
+                    summary.version
+                ).parts.values()
             }
 
     def test_removed_route_leaves_the_version(self):
         ledger = Ledger(history=5, audit_records=10)
         self.publish(ledger, 1, route_set(3, 0, route('a'), route('b')))
         self.publish(ledger, 2, route_set(4, 3, route('b')))
-        assert 'route/a' not in ledger.versions[-1].parts
-        assert 'route/b' in ledger.versions[-1].parts
+        assert 'route/a' not in ledger.history.newest_parts
+        assert 'route/b' in ledger.history.newest_parts
