Do the long work for a large change off the event loop

Callers would see: one change of thousands of routes keeps a control VM from answering orders, reads, polls and heartbeats for as long as it is decoded, compared and applied, one step after the other.

Change: a publication is read, validated and compared in a thread. A committed entry of 64 KB or more is decoded and its parts are encoded in a thread before it is applied (Preparer); it is held back meanwhile, and so are those behind it, while the group replicates and sends heartbeats. An entry that is held back does not count as applied, so reads, restarted nodes and the owner of quotas wait for it. The collector of the control process scans less often, since a route set makes as many objects at once.

--- a/papayalock/control/distributor.py
+++ b/papayalock/control/distributor.py
@@ -19,7 +19,6 @@
 )
 from papayalock.core.endpoints import EndpointTable
 from papayalock.core.ledger import Ledger
-from papayalock.core.retention import RetentionBudget
 from papayalock.core.release import (
     NotYetReleased,
     Offer,
@@ -29,6 +28,7 @@
     offer_without_lease,
     zone_report,
 )
+from papayalock.core.retention import RetentionBudget
 from papayalock.messages import (
     ControlPeer,
     EndpointDelta,
@@ -38,7 +38,7 @@
     ZoneReport,
 )
 from papayalock.ports import Clock
-from papayalock.result import Code
+from papayalock.result import Code, PapayalockError
 
 log = logging.getLogger(__name__)
 
@@ -273,13 +273,12 @@
                 Code.NOT_PROVABLY_NEWEST, redirect=decision.address
             )
         if isinstance(decision, Refusal):
-            log.warning(
-                'restarted node refused',
-                extra={'code': decision.code, 'reason': decision.reason},
-            )
-            return SyncReply(
-                decision.code,
-                retry_after_ms=self._snapshot_limiter.retry_after_ms(),
+            return self._refuse_restarted(decision.code, decision.reason)
+        try:
+            await self._group.wait_applied(decision.index)
+        except PapayalockError as exc:
+            return self._refuse_restarted(
+                Code.NOT_PROVABLY_NEWEST, str(exc.args[0])
             )
         replica = self._group.replica
         replica.releases[req.zone] = max(
@@ -287,6 +286,14 @@
         )
         return await self._poll(req)
 
+    def _refuse_restarted(self, code: Code, reason: str) -> SyncReply:
+        log.warning(
+            'restarted node refused', extra={'code': code, 'reason': reason}
+        )
+        return SyncReply(
+            code, retry_after_ms=self._snapshot_limiter.retry_after_ms()
+        )
+
     def _build_reply(self, req: SyncReq) -> SyncReply:
         info = self._version_to_offer(req)
         if info is None:
--- a/papayalock/control/group.py
+++ b/papayalock/control/group.py
@@ -3,10 +3,13 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 from papayalock.commands import Command, decode_command, encode_command
-from papayalock.control.statepack import pack_state, unpack_state
+from papayalock.control.compaction import Compactor
+from papayalock.control.preparation import LARGE_PAYLOAD_CHARS, Preparer
+from papayalock.control.statemachine import StateMachine
+from papayalock.control.statepack import unpack_state
 from papayalock.control.storage import GroupStorage
 from papayalock.core.raft import Effects, Replica
 from papayalock.messages import Entry, PeerMessage
@@ -24,22 +27,6 @@
 ENTRY_BYTES = 256  # memory of a log entry beside its payload
 
 
-class StateMachine(Protocol):
-    """The replicated state machine of a group."""
-
-    def apply(self, index: int, command: Command) -> Any:
-        """Applies a committed command and returns its result."""
-        ...
-
-    def dump(self) -> bytes:
-        """Returns the state as JSON text, for a snapshot."""
-        ...
-
-    def load(self, text: bytes) -> None:
-        """Replaces the state by one that :meth:`dump` returned."""
-        ...
-
-
 class Proposal:
     """A command whose caller waits for the state machine's result.
 
@@ -55,30 +42,18 @@
         self.term = 0
 
 
-class Compaction:
-    """A snapshot that is being compressed.
-
-    ``index`` is the newest log entry in it, ``size`` its size in bytes before
-    the compression.
-    """
+class Wakeup:
+    """An input that only ends the wait for inputs."""
 
-    __slots__ = ('index', 'packed', 'size')
 
-    def __init__(
-        self, index: int, size: int, packed: 'asyncio.Task[str]'
-    ) -> None:
-        """Sets the state's position in the log, its size and its text."""
-        self.index = index
-        self.size = size
-        self.packed = packed
+Input = PeerMessage | Proposal | Wakeup
 
 
 class RaftGroup:
     """Drives this VM's replica of one Raft group.
 
     Messages and proposals are queued, and the task of :meth:`run` alone
-    changes the replica, its files and the state machine. ``applied_bytes`` is
-    the memory of the entries applied since the last compaction.
+    changes the replica, its files and the state machine.
     """
 
     def __init__(
@@ -104,14 +79,14 @@
         self._storage = storage
         self._network = network
         self._clock = clock
-        self._snapshot_entries = snapshot_entries
-        self._log_bytes = log_bytes
-        self._inbox: asyncio.Queue[PeerMessage | Proposal] = asyncio.Queue()
+        self._inbox: asyncio.Queue[Input] = asyncio.Queue()
         self._pending: dict[int, Proposal] = {}
         self._was_leader = False
         self._logged_leader = ''
-        self.applied_bytes = 0
-        self._compaction: Compaction | None = None
+        self.compactor = Compactor(
+            replica, storage, machine, snapshot_entries, log_bytes
+        )
+        self._preparer = Preparer(machine, self._wake)
         machine.load(unpack_state(replica.log.snapshot.state))
 
     # Methods for other tasks.
@@ -131,7 +106,7 @@
         """
         if self.disk_full:
             raise PapayalockError(Code.DISK_FULL, 'the disk takes no more')
-        decode_command(encode_command(command))
+        await _check_decodable(command)
         fut = asyncio.get_running_loop().create_future()
         self._inbox.put_nowait(Proposal(command, fut))
         return await fut
@@ -198,13 +173,13 @@
             inputs.append(self._inbox.get_nowait())
         self._pass_to_replica(inputs)
 
-    def _pass_to_replica(self, inputs: list[PeerMessage | Proposal]) -> None:
+    def _pass_to_replica(self, inputs: list[Input]) -> None:
         now = self._clock.monotonic()
         proposals: list[Proposal] = []
         for item in inputs:
             if isinstance(item, Proposal):
                 proposals.append(item)
-            else:
+            elif isinstance(item, PeerMessage):
                 self.replica.receive(item, now)
         if proposals:
             self._append_proposals(proposals, now)
@@ -234,7 +209,9 @@
         their proposers notified before they are on this VM's own disk.
         """
         while True:
-            effects = self.replica.take_effects()
+            effects = self.replica.take_effects(
+                self._preparer.apply_limit(self.replica)
+            )
             self._send(effects.before_persist)
             self._apply(effects)
             if effects.needs_persist:
@@ -272,14 +249,16 @@
         if effects.installed_snapshot is not None:
             state = effects.installed_snapshot.state
             self.machine.load(unpack_state(state))
-            self.applied_bytes = 0
+            self.compactor.applied_bytes = 0
         for entry in effects.committed:
-            self.applied_bytes += len(entry.payload) + ENTRY_BYTES
-            result = self.machine.apply(
-                entry.index, decode_command(entry.payload)
-            )
+            self.compactor.applied_bytes += len(entry.payload) + ENTRY_BYTES
+            command = self._preparer.command_of(entry)
+            result = self.machine.apply(entry.index, command)
             self._resolve_proposal(entry, result)
 
+    def _wake(self) -> None:
+        self._inbox.put_nowait(Wakeup())
+
     def _resolve_proposal(self, entry: Entry, result: Any) -> None:
         proposal = self._pending.pop(entry.index, None)
         if proposal is None or proposal.fut.done():
@@ -323,58 +302,19 @@
         self._pending.clear()
 
     async def _compact_log(self) -> None:
-        """Replaces the applied entries by a snapshot, if they are many.
-
-        Compressing the state takes long, so a thread does it while the group
-        goes on. Entries that are applied meanwhile stay in the log.
-        """
-        if self._compaction is None:
-            if self._is_compaction_due():
-                self._start_compaction()
-            return
-        if not self._compaction.packed.done():
-            return
-        compaction = self._compaction
-        self._compaction = None
-        if compaction.index > self.replica.log.snapshot.index:
-            await self._write_snapshot(compaction)
-
-    def _is_compaction_due(self) -> bool:
-        entries = self.replica.applied - self.replica.log.snapshot.index
-        large = self.applied_bytes >= self._log_bytes
-        return entries >= self._snapshot_entries or (large and entries > 0)
-
-    def _start_compaction(self) -> None:
-        self.applied_bytes = 0
-        state = self.machine.dump()
-        packing = asyncio.to_thread(pack_state, state)
-        self._compaction = Compaction(
-            self.replica.applied, len(state), asyncio.create_task(packing)
-        )
-
-    async def _write_snapshot(self, compaction: Compaction) -> None:
-        replica = self.replica
-        packed = compaction.packed.result()
-        entries = compaction.index - replica.log.snapshot.index
-        snapshot = replica.compact(packed, compaction.index)
-        rest = replica.log.entries_between(
-            snapshot.index + 1, replica.log.last_index, replica.log.last_index
-        )
         try:
-            await asyncio.to_thread(self._storage.save_snapshot, snapshot, rest)
+            await self.compactor.run()
         except OSError as exc:
             self.disk_full = True
             log.error(
                 'snapshot not written',
                 extra={'code': Code.DISK_FULL, 'reason': str(exc)},
             )
-            return
-        log.info(
-            'log compacted',
-            extra={
-                'group': replica.cfg.group,
-                'entries': entries,
-                'state_bytes': compaction.size,
-                'packed_bytes': len(packed),
-            },
-        )
+
+
+async def _check_decodable(command: Command) -> None:
+    payload = encode_command(command)
+    if len(payload) < LARGE_PAYLOAD_CHARS:
+        decode_command(payload)
+    else:
+        await asyncio.to_thread(decode_command, payload)
--- a/papayalock/control/groupfactory.py
+++ b/papayalock/control/groupfactory.py
@@ -1,7 +1,8 @@
 """Restores the replica of a Raft group from disk and starts its driver."""
 
-from papayalock.control.group import CONFIG_GROUP, RaftGroup, StateMachine
+from papayalock.control.group import CONFIG_GROUP, RaftGroup
 from papayalock.control.identity import Identity
+from papayalock.control.statemachine import StateMachine
 from papayalock.control.storage import GroupStorage
 from papayalock.core.raft import Replica, ReplicaConfig
 from papayalock.ports import Clock, Disk, Network, Random
--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import gc
 import logging
 import random
 import secrets
@@ -12,16 +13,16 @@
 from aioprometheus import Registry
 
 from papayalock.clock import SystemClock
+from papayalock.control import listeners
 from papayalock.control.anyzone import AnyZoneDistributor
 from papayalock.control.coordinator import Coordinator, claims_group_name
 from papayalock.control.disk import FileDisk
 from papayalock.control.distributor import Distributor
 from papayalock.control.endpointsync import EndpointSync
-from papayalock.control.httpprotocol import LimitedHttpProtocol
-from papayalock.control.group import CONFIG_GROUP, RaftGroup, StateMachine
+from papayalock.control.group import CONFIG_GROUP, RaftGroup
 from papayalock.control.groupfactory import make_group
+from papayalock.control.httpprotocol import LimitedHttpProtocol
 from papayalock.control.identity import Identity, load_or_create_identity
-from papayalock.control import listeners
 from papayalock.control.membermanager import MemberManager
 from papayalock.control.peertransport import PeerTransport
 from papayalock.control.quotaservice import QuotaService
@@ -58,6 +59,7 @@
 MAX_QUOTA_BYTES = 1_048_576  # of a request for tokens
 MAX_QUOTA_CONNECTIONS = 3000
 METRICS_CONTENT_TYPE = (b'content-type', b'text/plain; version=0.0.4')
+GC_THRESHOLD = 20_000  # a large route set creates as many objects at once
 STOP_TIMEOUT_S = 1  # longest wait for pending long polls at a planned stop
 
 
@@ -237,7 +239,7 @@
         if self._http_server is not None:
             self._http_server.should_exit = True
 
-    def _make_group(self, name: str, machine: StateMachine) -> RaftGroup:
+    def _make_group(self, name: str, machine: Ledger | Claims) -> RaftGroup:
         groups = 1 + self._settings.claims.shards
         return make_group(
             name,
@@ -331,4 +333,6 @@
     """
     vm = ControlVm(settings, operator)
     watcher = SettingsWatcher(path, settings, vm.apply_settings)
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
     await watcher.run_alongside(vm.run())
--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -1,5 +1,6 @@
 """The HTTP API of a control VM, for nodes, other control VMs and operators."""
 
+import asyncio
 import functools
 import logging
 
@@ -11,7 +12,6 @@
 from papayalock.commands import Publication
 from papayalock.compression import compress_body
 from papayalock.control.coordinator import Coordinator
-from papayalock.control.membermanager import MemberManager
 from papayalock.control.http import (
     Handler,
     Query,
@@ -22,6 +22,7 @@
     json_response,
     read_body,
 )
+from papayalock.control.membermanager import MemberManager
 from papayalock.control.rolloutapi import RolloutApi
 from papayalock.control.status import StatusReader
 from papayalock.core.routesets import validate_route_set
@@ -222,14 +223,18 @@
         return json_response(res, self._operator.publish_status(res))
 
     async def _publish_routes(self, body: bytes) -> PublishRes:
+        """Publishes a route set; the long work on it is done in a thread."""
+        prepared = await asyncio.to_thread(self._prepare_publication, body)
+        if isinstance(prepared, PublishRes):
+            return prepared
+        return await self._coordinator.publish(prepared)
+
+    def _prepare_publication(self, body: bytes) -> PublishRes | Publication:
+        """Returns the command for a route set, or a result that needs none."""
         routes = validate_route_set(self._operator.read(body, self._key_digest))
         route_sets = self._coordinator.ledger.route_sets
         result = route_sets.result_without_log(routes)
-        if result is not None:
-            return result
-        return await self._coordinator.publish(
-            route_sets.publish_command(routes)
-        )
+        return result or route_sets.publish_command(routes)
 
     async def _routes(self, request: Request) -> Response:
         try:
@@ -298,7 +303,7 @@
             'history_bytes': coordinator.ledger.history.size,
             'audit_bytes': coordinator.ledger.audit.size,
             'delta_bytes': coordinator.distributor.cached_bytes,
-            'log_bytes': coordinator.config_group.applied_bytes,
+            'log_bytes': coordinator.config_group.compactor.applied_bytes,
             'snapshot_bytes': len(replica.log.snapshot.state),
         }
 
--- a/papayalock/core/claims.py
+++ b/papayalock/core/claims.py
@@ -43,6 +43,9 @@
             return self._finish(command)
         return None
 
+    def prepare(self, command: Command) -> None:
+        """Does nothing: claims take no long work."""
+
     def dump(self) -> bytes:
         """Returns the state as JSON text."""
         return msgspec.json.encode(ClaimState(self.records))
--- a/papayalock/core/history.py
+++ b/papayalock/core/history.py
@@ -140,7 +140,7 @@
         self._rebuilt.clear()
         self._undo_size = 0
         for digest, text in state.parts.items():
-            self.parts.add_encoded(digest, bytes(text))
+            self.parts.restore(digest, bytes(text))
         if state.undos:
             self._load_undos(state)
         else:
--- a/papayalock/core/ledger.py
+++ b/papayalock/core/ledger.py
@@ -17,7 +17,7 @@
     merged_register,
 )
 from papayalock.core.partnames import is_shared
-from papayalock.core.partstore import PartStore
+from papayalock.core.partstore import PartStore, PartText
 from papayalock.core.retention import RetentionBudget
 from papayalock.core.rollouts import (
     RolloutBook,
@@ -25,9 +25,10 @@
     VersionsByService,
 )
 from papayalock.core.routesets import (
-    PartChanges,
+    Candidate,
     RouteSetState,
     RouteSetStore,
+    part_changes,
 )
 from papayalock.messages import (
     AuditRecord,
@@ -64,6 +65,24 @@
     undos: list[Undo] = msgspec.field(default_factory=list)
 
 
+class PreparedRoutes:
+    """What a publication changes, as computed before it is applied."""
+
+    __slots__ = ('candidate', 'changed', 'command', 'removed')
+
+    def __init__(
+        self, command: Publish | Revise, candidate: Candidate | None
+    ) -> None:
+        """Starts without changes.
+
+        :param candidate: the resulting set; None if the command does not fit
+        """
+        self.command = command
+        self.candidate = candidate
+        self.changed: list[PartText] = []
+        self.removed: set[str] = set()
+
+
 class Ledger:
     """State machine of the configuration group.
 
@@ -91,6 +110,7 @@
         self.audit = AuditTrail(audit_records, budget.audit)
         self.route_sets = RouteSetStore()
         self.rollouts = RolloutBook()
+        self._prepared: PreparedRoutes | None = None
         self._requests: dict[str, SubmitRes] = {}
         self._fingerprints: dict[str, str] = {}
 
@@ -133,6 +153,14 @@
             return self._audit_member_change(index, command)
         return None
 
+    def prepare(self, command: Command) -> None:
+        """Does the long work for a command that is the next to be applied.
+
+        It changes nothing that others read, so it may run in another thread.
+        """
+        if isinstance(command, Publish | Revise):
+            self._prepared = self._prepare(command)
+
     def dump(self) -> bytes:
         """Returns the state as JSON text."""
         inventory = self.inventory
@@ -242,20 +270,31 @@
             self._add_version(index, command.at_ms, '', 'existence', touched)
 
     def _publish(self, index: int, command: Publish | Revise) -> PublishRes:
-        previous = self.route_sets.current
-        if isinstance(command, Revise):
-            response, changed = self.route_sets.revise(command)
-        else:
-            response, changed = self.route_sets.publish(command.route_set)
+        prepared = self._prepared
+        self._prepared = None
+        if prepared is None or prepared.command is not command:
+            prepared = self._prepare(command)
+        response, changed = self.route_sets.decide(command, prepared.candidate)
         if changed:
-            manifest = self._changed_manifest(
-                self.route_sets.changes_since(previous)
-            )
             self._record_version(
-                index, command.at_ms, command.operator, 'routes', manifest
+                index,
+                command.at_ms,
+                command.operator,
+                'routes',
+                self._changed_manifest(prepared),
             )
         return response
 
+    def _prepare(self, command: Publish | Revise) -> PreparedRoutes:
+        candidate = self.route_sets.candidate(command)
+        prepared = PreparedRoutes(command, candidate)
+        if candidate is not None and not candidate.problems:
+            current = self.route_sets.current
+            changes = part_changes(current, candidate.routes)
+            prepared.removed = changes.removed
+            prepared.changed = [PartText(part) for part in changes.changed]
+        return prepared
+
     def _roll_out(self, index: int, command: RolloutCommand) -> RolloutResult:
         response, changed = self.rollouts.apply(index, command)
         if changed:
@@ -273,13 +312,14 @@
             )
         return response
 
-    def _changed_manifest(self, changes: PartChanges) -> Manifest:
+    def _changed_manifest(self, prepared: PreparedRoutes) -> Manifest:
         """Returns the manifest of the newest version with changed parts."""
         manifest = dict(self.history.newest_parts)
-        for name in changes.removed:
+        for name in prepared.removed:
             manifest.pop(name, None)
         manifest.update(
-            (part.service, self.parts.add(part)) for part in changes.changed
+            (part.name, self.parts.add_encoded(part))
+            for part in prepared.changed
         )
         return manifest
 
--- a/papayalock/core/partstore.py
+++ b/papayalock/core/partstore.py
@@ -9,7 +9,7 @@
 
 PART_BYTES = 320  # memory of a stored part beside its text
 _PART = msgspec.json.Decoder(Part)
-EncodedPart = tuple[str, bytes]  # digest and JSON text
+DigestedText = tuple[str, bytes]
 
 
 class PartOwner(msgspec.Struct):
@@ -23,6 +23,19 @@
 _OWNER = msgspec.json.Decoder(PartOwner)
 
 
+class PartText:
+    """A part as JSON text, with the digest of it."""
+
+    __slots__ = ('callers', 'digest', 'name', 'text')
+
+    def __init__(self, part: Part) -> None:
+        """Encodes a part."""
+        self.name = part.service
+        self.text = encode_part(part)
+        self.digest = encoded_digest(self.text)
+        self.callers = () if part.shared else tuple(part.callers)
+
+
 class StoredPart:
     """An encoded part and the number of version ranges that contain it."""
 
@@ -77,13 +90,15 @@
 
     def add(self, part: Part) -> str:
         """Stores a part unless it is there; returns its digest."""
-        text = encode_part(part)
-        digest = encoded_digest(text)
-        self._add(digest, text, () if part.shared else tuple(part.callers))
-        return digest
+        return self.add_encoded(PartText(part))
+
+    def add_encoded(self, part: PartText) -> str:
+        """Stores an encoded part unless it is there; returns its digest."""
+        self._add(part.digest, part.text, part.callers)
+        return part.digest
 
-    def add_encoded(self, digest: str, text: bytes) -> None:
-        """Stores an encoded part unless it is there."""
+    def restore(self, digest: str, text: bytes) -> None:
+        """Stores a part of a snapshot."""
         owner = _OWNER.decode(text)
         self._add(digest, text, () if owner.shared else tuple(owner.callers))
 
@@ -112,7 +127,7 @@
             return True
         return lists_caller(self._parts[digest].callers, service)
 
-    def texts(self) -> Iterator[EncodedPart]:
+    def texts(self) -> Iterator[DigestedText]:
         """Yields the digest and the text of each part."""
         for digest, stored in self._parts.items():
             yield digest, stored.text
--- a/papayalock/core/replica.py
+++ b/papayalock/core/replica.py
@@ -301,11 +301,11 @@
 
     @property
     def leads_current_log(self) -> bool:
-        """Whether this VM leads and knows all that was committed before.
+        """Whether this VM leads and has applied all that was committed before.
 
-        A leader knows it once an entry of its own term is committed.
+        A leader has once an entry of its own term is applied.
         """
-        return self.is_leader and self.commit >= self._term_start_index
+        return self.is_leader and self.applied >= self._term_start_index
 
     def can_change_members(self) -> bool:
         """Whether a single-member change may be proposed now.
@@ -317,8 +317,12 @@
             self.log.member_set_index, self._term_start_index
         )
 
-    def take_effects(self) -> Effects:
-        """Returns the effects of all inputs since the last call."""
+    def take_effects(self, apply_limit: int | None = None) -> Effects:
+        """Returns the effects of all inputs since the last call.
+
+        :param apply_limit: newest index that may be applied now; None for all
+            committed entries
+        """
         effects = self._effects
         self._effects = Effects()
         self._taken_commit_index = self.commit
@@ -326,11 +330,12 @@
         if self._hard_state_changed:
             effects.hard_state = HardState(self.term, self.vote, self.commit)
             self._hard_state_changed = False
-        if self.applied < self.commit:
+        limit = self.commit if apply_limit is None else apply_limit
+        if self.applied < limit:
             effects.committed = self.log.entries_between(
-                self.applied + 1, self.commit, self.commit
+                self.applied + 1, limit, limit
             )
-            self.applied = self.commit
+            self.applied = limit
         return effects
 
     def _pre_vote_delay(self) -> float:
--- a/papayalock/core/routesets.py
+++ b/papayalock/core/routesets.py
@@ -71,25 +71,42 @@
         return self.state.current.label if self.state.current else 0
 
     def publish(self, routes: RouteSet) -> tuple[PublishRes, bool]:
+        """Accepts or rejects a set; see :meth:`accept`."""
+        return self.accept(Candidate(routes))
+
+    def candidate(self, command: Publish | Revise) -> 'Candidate | None':
+        """Returns the set that a command publishes.
+
+        It is None if a revision does not fit the set in force. Nothing is
+        changed, so this may run in another thread.
+        """
+        if isinstance(command, Publish):
+            return Candidate(command.route_set)
+        current = self.state.current
+        if current is None or current.label != command.base:
+            return None
+        try:
+            candidate = Candidate(apply_revision(current, command))
+        except KeyError:
+            return None
+        return candidate if candidate.digest == command.digest else None
+
+    def accept(self, candidate: 'Candidate') -> tuple[PublishRes, bool]:
         """Accepts or rejects a set.
 
         :returns: the result, and whether the set is newly in force. A set
             that was accepted before is acknowledged again, since its sender
             may not have received the first response.
         """
-        return self._publish(routes, route_set_digest(routes))
-
-    def _publish(
-        self, routes: RouteSet, digest: str
-    ) -> tuple[PublishRes, bool]:
-        accepted_label = self.state.accepted.get(digest)
+        accepted_label = self.state.accepted.get(candidate.digest)
         if accepted_label is not None:
             return PublishRes(code=Code.DONE, label=accepted_label), False
-        refusal = self._refusal(routes)
+        routes = candidate.routes
+        refusal = self._refusal(routes, candidate.problems)
         if refusal is not None:
             return refusal, False
         self.state.current = routes
-        self.state.accepted[digest] = routes.label
+        self.state.accepted[candidate.digest] = routes.label
         if len(self.state.accepted) > MAX_ACCEPTED:
             self.state.accepted.pop(next(iter(self.state.accepted)))
         return PublishRes(code=Code.DONE, label=routes.label), True
@@ -99,6 +116,7 @@
 
         An accepted set stays accepted, an invalid one stays invalid, and one
         that is based on an older label than the one in force can never win.
+        So this may run in another thread.
         """
         accepted_label = self.state.accepted.get(route_set_digest(routes))
         if accepted_label is not None:
@@ -107,13 +125,14 @@
         if problems:
             return self._invalid(problems)
         if routes.base < self.label:
-            return self._refusal(routes)
+            return self._refusal(routes, problems)
         return None
 
     def publish_command(self, routes: RouteSet) -> Publish | Revise:
         """Returns the smallest log command that publishes a set.
 
-        A set that is based on the one in force is sent as a difference.
+        A set that is based on the one in force is sent as a difference. This
+        may run in another thread.
         """
         current = self.state.current
         if current is None or current.label != routes.base:
@@ -123,20 +142,25 @@
         return make_revision(current, routes, route_set_digest(routes))
 
     def revise(self, revision: Revise) -> tuple[PublishRes, bool]:
-        """Accepts or rejects a difference; see :meth:`publish`."""
-        accepted_label = self.state.accepted.get(revision.digest)
+        """Accepts or rejects a difference; see :meth:`accept`."""
+        return self.decide(revision, self.candidate(revision))
+
+    def decide(
+        self, command: Publish | Revise, candidate: 'Candidate | None'
+    ) -> tuple[PublishRes, bool]:
+        """Accepts or rejects the set of a command; see :meth:`accept`.
+
+        :param candidate: as :meth:`candidate` returned it
+        """
+        if isinstance(command, Publish):
+            return self.accept(candidate or Candidate(command.route_set))
+        if candidate is not None:
+            return self.accept(candidate)
+        # The resulting set may have been accepted before.
+        accepted_label = self.state.accepted.get(command.digest)
         if accepted_label is not None:
             return PublishRes(code=Code.DONE, label=accepted_label), False
-        current = self.state.current
-        if current is None or current.label != revision.base:
-            return self._conflict(revision.base), False
-        try:
-            routes = apply_revision(current, revision)
-        except KeyError:
-            return self._conflict(revision.base), False
-        if route_set_digest(routes) != revision.digest:
-            return self._conflict(revision.base), False
-        return self._publish(routes, revision.digest)
+        return self._conflict(command.base), False
 
     def _conflict(self, base: int) -> PublishRes:
         return PublishRes(
@@ -148,10 +172,11 @@
             ),
         )
 
-    def _refusal(self, routes: RouteSet) -> PublishRes | None:
+    def _refusal(
+        self, routes: RouteSet, problems: list[Problem]
+    ) -> PublishRes | None:
         if routes.base != self.label:
             return self._conflict(routes.base)
-        problems = check_route_set(routes)
         if routes.label <= self.label:
             problems.append(
                 Problem(
@@ -171,41 +196,49 @@
             ),
         )
 
-    def parts(self) -> Iterator[Part]:
-        """Yields the parts of the set in force, which all nodes hold."""
-        yield from self._changed_parts(None)
+    def parts(self) -> list[Part]:
+        """Returns the parts of the set in force, which all nodes hold."""
+        current = self.state.current
+        return part_changes(None, current).changed if current else []
 
-    def changes_since(self, previous: RouteSet | None) -> PartChanges:
-        """Returns how the parts differ from those of an earlier set.
 
-        :param previous: the earlier set; a revision shares the routes that it
-            does not change with the set that it is based on
-        """
-        return PartChanges(
-            list(self._changed_parts(previous)), self._removed_parts(previous)
-        )
+class Candidate:
+    """A route set that is to be published, with its digest and its errors."""
 
-    def _changed_parts(self, previous: RouteSet | None) -> Iterator[Part]:
-        """Yields the parts, without unchanged routes and customers."""
-        current = self.state.current
-        if current is None:
-            return
-        for policy in current.services:
-            yield shared_part(policy_part(policy.service), policy=policy)
-        earlier = previous or RouteSet(0, 0, [], [])
-        for route in _replaced(earlier.routes, current.routes):
-            yield shared_part(route_part(route.name), host_route=route)
-        for customer in _replaced(earlier.customers, current.customers):
-            yield shared_part(customer_part(customer.name), customer=customer)
-        if current.limits is not None:
-            yield shared_part(LIMITS_PART, limits=current.limits)
-
-    def _removed_parts(self, previous: RouteSet | None) -> set[str]:
-        """Returns the names of parts that only an earlier set has."""
-        current = self.state.current
-        if previous is None or current is None:
-            return set()
-        return _part_names(previous) - _part_names(current)
+    __slots__ = ('digest', 'problems', 'routes')
+
+    def __init__(self, routes: RouteSet) -> None:
+        """Checks the set."""
+        self.routes = routes
+        self.digest = route_set_digest(routes)
+        self.problems = check_route_set(routes)
+
+
+def part_changes(previous: RouteSet | None, current: RouteSet) -> PartChanges:
+    """Returns how the parts of a set differ from those of an earlier one.
+
+    :param previous: the earlier set; a revision shares the routes that it
+        does not change with the set that it is based on
+    """
+    removed = (
+        _part_names(previous) - _part_names(current) if previous else set()
+    )
+    return PartChanges(list(_changed_parts(previous, current)), removed)
+
+
+def _changed_parts(
+    previous: RouteSet | None, current: RouteSet
+) -> Iterator[Part]:
+    """Yields the parts, without unchanged routes and customers."""
+    for policy in current.services:
+        yield shared_part(policy_part(policy.service), policy=policy)
+    earlier = previous or RouteSet(0, 0, [], [])
+    for route in _replaced(earlier.routes, current.routes):
+        yield shared_part(route_part(route.name), host_route=route)
+    for customer in _replaced(earlier.customers, current.customers):
+        yield shared_part(customer_part(customer.name), customer=customer)
+    if current.limits is not None:
+        yield shared_part(LIMITS_PART, limits=current.limits)
 
 
 def _replaced(
--- a/test/test_customers.py
+++ b/test/test_customers.py
@@ -17,6 +17,7 @@
 from papayalock.core.routesets import (
     RouteSetStore,
     check_route_set,
+    part_changes,
     route_set_digest,
 )
 from papayalock.dialect import BackendMetadata
@@ -112,7 +113,7 @@
         assert table.customers.find(DIGEST).rate == 5
         previous = store.current
         store.publish(with_customers(2, 1, Customer('c1', ['d2'])))
-        changes = store.changes_since(previous)
+        changes = part_changes(previous, store.current)
         table.update(changes.changed, changes.removed)
         assert table.customers.find(DIGEST) is None
         assert table.customers.find('d2').name == 'c1'
