--- a/papayalock/control/peertransport.py
+++ b/papayalock/control/peertransport.py
@@ -19,9 +19,32 @@
 IDLE_MS = 30_000
 MAX_RESPONSE_BYTES = 65536
 MAX_REQUEST_MESSAGES = 64
+MAX_REQUEST_CHARS = 4_194_304  # of the entries and snapshots in one request
 RETRY_DELAY_S = 0.05  # after a failed request
 
 
+def take_batch(outbox: deque[PeerMessage]) -> list[PeerMessage]:
+    """Removes and returns the messages of the next request.
+
+    A message that alone is larger than a request should be goes alone.
+    """
+    batch = [outbox.popleft()]
+    size = _content_size(batch[0])
+    while outbox and len(batch) < MAX_REQUEST_MESSAGES:
+        size += _content_size(outbox[0])
+        if size > MAX_REQUEST_CHARS:
+            break
+        batch.append(outbox.popleft())
+    return batch
+
+
+def _content_size(message: PeerMessage) -> int:
+    size = sum(len(entry.payload) for entry in message.entries)
+    if message.snapshot is not None:
+        size += len(message.snapshot.state)
+    return size
+
+
 class PeerTransport:
     """Sends messages to peers by name; satisfies ``ports.Network``.
 
@@ -65,11 +88,7 @@
             await self._wakeups[name].wait()
             self._wakeups[name].clear()
             while outbox:
-                batch = [
-                    outbox.popleft()
-                    for _ in range(min(len(outbox), MAX_REQUEST_MESSAGES))
-                ]
-                await self._post(name, batch)
+                await self._post(name, take_batch(outbox))
 
     async def _post(self, name: str, batch: list[PeerMessage]) -> None:
         address = self.addresses.get(name)
--- a/papayalock/core/ledger.py
+++ b/papayalock/core/ledger.py
@@ -68,7 +68,7 @@
 class PreparedRoutes:
     """What a publication changes, as computed before it is applied."""
 
-    __slots__ = ('candidate', 'changed', 'command', 'removed')
+    __slots__ = ('candidate', 'changed', 'command', 'detail', 'manifest')
 
     def __init__(
         self, command: Publish | Revise, candidate: Candidate | None
@@ -80,7 +80,8 @@
         self.command = command
         self.candidate = candidate
         self.changed: list[PartText] = []
-        self.removed: set[str] = set()
+        self.manifest: Manifest = {}
+        self.detail = ''
 
 
 class Ledger:
@@ -276,23 +277,32 @@
             prepared = self._prepare(command)
         response, changed = self.route_sets.decide(command, prepared.candidate)
         if changed:
+            for part in prepared.changed:
+                self.parts.add_encoded(part)
             self._record_version(
                 index,
                 command.at_ms,
                 command.operator,
                 'routes',
-                self._changed_manifest(prepared),
+                prepared.manifest,
+                prepared.detail,
             )
         return response
 
     def _prepare(self, command: Publish | Revise) -> PreparedRoutes:
         candidate = self.route_sets.candidate(command)
         prepared = PreparedRoutes(command, candidate)
-        if candidate is not None and not candidate.problems:
-            current = self.route_sets.current
-            changes = part_changes(current, candidate.routes)
-            prepared.removed = changes.removed
-            prepared.changed = [PartText(part) for part in changes.changed]
+        if candidate is None or candidate.problems:
+            return prepared
+        changes = part_changes(self.route_sets.current, candidate.routes)
+        previous = self.history.newest_parts
+        manifest = dict(previous)
+        for name in changes.removed:
+            manifest.pop(name, None)
+        prepared.changed = [PartText(part) for part in changes.changed]
+        manifest.update((part.name, part.digest) for part in prepared.changed)
+        prepared.manifest = manifest
+        prepared.detail = describe_change(previous, manifest)
         return prepared
 
     def _roll_out(self, index: int, command: RolloutCommand) -> RolloutResult:
@@ -312,17 +322,6 @@
             )
         return response
 
-    def _changed_manifest(self, prepared: PreparedRoutes) -> Manifest:
-        """Returns the manifest of the newest version with changed parts."""
-        manifest = dict(self.history.newest_parts)
-        for name in prepared.removed:
-            manifest.pop(name, None)
-        manifest.update(
-            (part.name, self.parts.add_encoded(part))
-            for part in prepared.changed
-        )
-        return manifest
-
     def _audit_member_change(self, index: int, command: SetMember) -> SubmitRes:
         detail = f'{command.action} {command.member.member}'
         self.audit.add(
--- a/test/test_retention.py
+++ b/test/test_retention.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import tracemalloc
+from collections import deque
 
 import msgspec
 import pytest
 
 from papayalock.config import make_settings
+from papayalock.control.peertransport import take_batch
 from papayalock.control.statepack import pack_state, unpack_state
 from papayalock.control.storage import GroupStorage
 from papayalock.core.audit import verify_chain
@@ -18,7 +20,7 @@
     retention_bytes,
 )
 from papayalock.core.sizedcache import SizedCache
-from papayalock.messages import Delta, VersionInfo
+from papayalock.messages import Delta, Entry, PeerMessage, VersionInfo
 from papayalock.result import Code, SettingsError, StorageError
 from test.cluster import MemoryDisk
 from test.inventories import LedgerDriver, example, with_slots
@@ -286,6 +288,36 @@
         assert indices == list(range(first, first + len(indices)))
 
 
+class TestPeerRequests:
+    def messages(self, *sizes: int) -> deque[PeerMessage]:
+        return deque(
+            PeerMessage(
+                'config',
+                'append',
+                'a',
+                'b',
+                1,
+                entries=[Entry(1, number, 'x' * size)],
+            )
+            for number, size in enumerate(sizes)
+        )
+
+    def test_one_request_carries_a_bounded_number_of_bytes(self):
+        outbox = self.messages(*[MIB] * 10)
+        batches = []
+        while outbox:
+            batches.append(take_batch(outbox))
+        assert [len(batch) for batch in batches] == [4, 4, 2]
+
+    def test_a_larger_message_goes_alone_and_in_order(self):
+        outbox = self.messages(10, 6 * MIB, 10, 10)
+        sent = [len(take_batch(outbox)) for _ in range(3)]
+        assert sent == [1, 1, 2]
+
+    def test_small_messages_are_bounded_in_number(self):
+        assert len(take_batch(self.messages(*[1] * 100))) == 64
+
+
 class TestPackedState:
     @pytest.mark.parametrize('state', [b'', b'{}', b'{"a":"\xc3\xa9"}' * 999])
     def test_a_packed_state_is_unpacked(self, state):
