--- a/papayalock/core/ledger.py
+++ b/papayalock/core/ledger.py
@@ -18,6 +18,7 @@
 )
 from papayalock.core.partnames import is_shared
 from papayalock.core.partstore import PartStore, PartText
+from papayalock.core.requestlog import RequestLog
 from papayalock.core.retention import RetentionBudget
 from papayalock.core.rollouts import (
     RolloutBook,
@@ -46,8 +47,6 @@
 )
 from papayalock.result import Code
 
-MAX_KEPT_REQUESTS = 10000  # request ids whose responses are kept
-
 
 class LedgerState(msgspec.Struct):
     """The ledger as a snapshot stores it."""
@@ -102,7 +101,7 @@
 
         :param history: maximum number of versions whose parts are kept
         :param audit_records: maximum number of audit records kept
-        :param budget: memory for the versions and for the audit records
+        :param budget: memory for versions, audit records and responses
         """
         budget = budget or RetentionBudget()
         self.inventory: Inventory | None = None
@@ -112,8 +111,7 @@
         self.route_sets = RouteSetStore()
         self.rollouts = RolloutBook()
         self._prepared: PreparedRoutes | None = None
-        self._requests: dict[str, SubmitRes] = {}
-        self._fingerprints: dict[str, str] = {}
+        self._requests = RequestLog(budget.requests)
 
     @property
     def version(self) -> int:
@@ -172,8 +170,8 @@
             existing=self.existing,
             versions=history.versions,
             parts=history.parts,
-            requests=self._requests,
-            fingerprints=self._fingerprints,
+            requests=self._requests.responses,
+            fingerprints=self._requests.fingerprints,
             audit=self.audit.records,
             book=self.route_sets.state,
             versions_by_service=self.rollouts.services,
@@ -193,17 +191,16 @@
         self.history.load(
             HistoryState(state.versions, state.parts, state.undos)
         )
-        self._requests = state.requests
-        self._fingerprints = state.fingerprints
+        self._requests.restore(state.requests, state.fingerprints)
         self.audit.restore(state.audit)
         self.route_sets.state = state.book
         self.rollouts.services = state.versions_by_service
 
     def _submit(self, index: int, command: Submit) -> SubmitRes:
         fingerprint = submit_fingerprint(command)
-        earlier = self._requests.get(command.request)
+        earlier = self._requests.responses.get(command.request)
         if earlier is not None:
-            if self._fingerprints[command.request] == fingerprint:
+            if self._requests.fingerprints[command.request] == fingerprint:
                 return earlier
             return SubmitRes(
                 code=Code.REQUEST_REUSED,
@@ -211,12 +208,7 @@
                 message='request id was used for another submission',
             )
         response = self._decide_submission(index, command)
-        self._requests[command.request] = response
-        self._fingerprints[command.request] = fingerprint
-        if len(self._requests) > MAX_KEPT_REQUESTS:
-            oldest = next(iter(self._requests))
-            self._requests.pop(oldest)
-            self._fingerprints.pop(oldest)
+        self._requests.add(command.request, fingerprint, response)
         return response
 
     def _decide_submission(self, index: int, command: Submit) -> SubmitRes:
--- a/papayalock/core/retention.py
+++ b/papayalock/core/retention.py
@@ -27,7 +27,7 @@
     and of the audit trail the oldest records go.
     """
 
-    __slots__ = ('audit', 'deltas', 'log', 'scopes', 'versions')
+    __slots__ = ('audit', 'deltas', 'log', 'requests', 'scopes', 'versions')
 
     def __init__(self, total: int = DEFAULT_BYTES) -> None:
         """Divides a total."""
@@ -36,4 +36,5 @@
         self.audit = 2 * eighth
         self.log = eighth
         self.deltas = eighth
-        self.scopes = eighth
+        self.scopes = eighth // 2
+        self.requests = eighth // 2  # responses to submissions
--- a/test/test_retention.py
+++ b/test/test_retention.py
@@ -13,6 +13,7 @@
 from papayalock.control.storage import GroupStorage
 from papayalock.core.audit import verify_chain
 from papayalock.core.distribute import DeltaSource, HeldConfig
+from papayalock.core.inventory import Inventory
 from papayalock.core.ledger import Ledger
 from papayalock.core.retention import (
     DEFAULT_BYTES,
@@ -20,10 +21,18 @@
     retention_bytes,
 )
 from papayalock.core.sizedcache import SizedCache
-from papayalock.messages import Delta, Entry, PeerMessage, VersionInfo
+from papayalock.messages import (
+    Delta,
+    Entry,
+    PeerMessage,
+    Rule,
+    Rules,
+    SubmitRes,
+    VersionInfo,
+)
 from papayalock.result import Code, SettingsError, StorageError
 from test.cluster import MemoryDisk
-from test.inventories import LedgerDriver, example, with_slots
+from test.inventories import LedgerDriver, example, submission, with_slots
 from test.test_group import MEMBERS, make_group, run, start_leading, stop
 from test.test_routesets import route, route_set
 
@@ -120,6 +129,35 @@
         assert verify_chain(records) is None
 
 
+class TestResponses:
+    def refused(self, ledger: Ledger, number: int) -> SubmitRes:
+        # No service has one of these operations, so each rule is a problem.
+        rules = [
+            Rule(f'n{rank}', 'deadline', 'enrol-desk', operation=f'o-{rank}')
+            for rank in range(200)
+        ]
+        command = submission(
+            Inventory(QURESHI.register, Rules(rules)), 0, f'r{number}'
+        )
+        return ledger.apply(number, command)
+
+    # Guards against refused submissions that outgrow the memory.
+    def test_refused_submissions_are_kept_within_their_memory(self):
+        ledger = small_ledger(4 * MIB)
+        for number in range(1, 60):
+            assert len(self.refused(ledger, number).problems) >= 200
+        state = msgspec.json.decode(ledger.dump())
+        assert len(msgspec.json.encode(state['requests'])) < MIB // 4
+        assert 1 <= len(state['requests']) < 10
+        assert state['requests'].keys() == state['fingerprints'].keys()
+
+    def test_the_newest_response_is_given_again(self):
+        ledger = small_ledger(4 * MIB)
+        for number in range(1, 10):
+            first = self.refused(ledger, number)
+        assert self.refused(ledger, 9) == first
+
+
 class TestHistory:
     def versions(self, ledger: Ledger) -> dict[int, VersionInfo]:
         return {
