--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -301,6 +301,7 @@
             'rollouts': self._rollouts.running,
             'history_versions': len(coordinator.ledger.history),
             'history_bytes': coordinator.ledger.history.size,
+            'audit_records': len(coordinator.ledger.audit.records),
             'audit_bytes': coordinator.ledger.audit.size,
             'delta_bytes': coordinator.distributor.cached_bytes,
             'log_bytes': coordinator.config_group.compactor.applied_bytes,
--- a/papayalock/core/audit.py
+++ b/papayalock/core/audit.py
@@ -12,7 +12,7 @@
 from papayalock.result import Code
 
 DIGEST_BYTES = 32
-RECORD_BYTES = 512  # memory of an audit record beside its detail
+RECORD_BYTES = 448  # memory of an audit record beside its detail
 MAX_RELEASE_TIMES = 1000  # newest releases, to detect late applies
 HeldKind = Literal['release', 'complete', 'attach', 'detach', 'late', 'outage']
 
--- a/test/test_retention.py
+++ b/test/test_retention.py
@@ -11,7 +11,7 @@
 from papayalock.control.peertransport import take_batch
 from papayalock.control.statepack import pack_state, unpack_state
 from papayalock.control.storage import GroupStorage
-from papayalock.core.audit import verify_chain
+from papayalock.core.audit import AuditTrail, verify_chain
 from papayalock.core.distribute import DeltaSource, HeldConfig
 from papayalock.core.inventory import Inventory
 from papayalock.core.ledger import Ledger
@@ -94,6 +94,25 @@
         grown = ledger.history.size + ledger.audit.size - estimated
         assert after - before <= grown
 
+    def test_the_estimate_covers_audit_records_without_details(self):
+        trail = AuditTrail(100_000, 64 * MIB)
+        tracemalloc.start()
+        try:
+            before, _ = tracemalloc.get_traced_memory()
+            for number in range(5000):
+                trail.add(
+                    1000 + number,
+                    1_700_000_000_000 + number,
+                    'routes',
+                    1000 + number,
+                    f'operator {number}',
+                    f'~route/{number:05}',
+                )
+            after, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert after - before <= trail.size
+
     @pytest.mark.parametrize('count', [10, 100, 1000])
     def test_memory_levels_off_at_any_size_of_the_changes(self, count):
         ledger = small_ledger(MIB)
