The soak changes all of 600 routes at times, and fills a small memory for the past

Large sets had 150 routes that never changed; now each changes the time-outs of all, their commands are prepared in a thread, and control VMs compact their log every 20 entries and drop versions within 8 MB.

--- a/bench/soak/cluster.py
+++ b/bench/soak/cluster.py
@@ -31,6 +31,8 @@
     )
 )
 PLANNED_KINDS = frozenset((FaultKind.TERM, FaultKind.HUP, FaultKind.ROLL))
+SNAPSHOT_ENTRIES = 20
+RETENTION_BYTES = 8_388_608
 TORN_RECORD = b'\x00\x17half of a record'
 SHARED_SETTINGS: dict[str, dict[str, object]] = {
     'distribution': {
@@ -267,6 +269,9 @@
             },
             'claims': {'shards': 0},
             'rollouts': {'exposure_share': rollouts.EXPOSURE_SHARE},
+            # Small, so that the log is compacted and versions are dropped.
+            'group': {'snapshot_entries': SNAPSHOT_ENTRIES},
+            'retention': {'bytes': RETENTION_BYTES},
             **SHARED_SETTINGS,
         }
         self._launch_daemon(name, document)
--- a/bench/soak/operator.py
+++ b/bench/soak/operator.py
@@ -24,7 +24,9 @@
 RACE_SHARE = 0.25
 INVALID_SHARE = 0.15
 LARGE_SET_SHARE = 0.1
-LARGE_SET_ROUTES = 150
+LARGE_SET_ROUTES = 600  # their command is prepared in a thread
+TIMEOUT_MS = 1000  # of a route that callers do not use
+TIMEOUTS = 500  # different ones; each large set changes all
 FIRST_ACCEPT_S = 30.0  # for all processes to start on a busy machine
 FIRST_RETRY_S = 0.1
 OK = 200
@@ -40,18 +42,21 @@
     call to it shows which version the node applies.
     """
     routes = [
-        _make_route('look', '/look/', 'desk', rank=1),
-        _make_route('pay', '/pay/', 'desk', rank=0),
-        _make_route('history', '/history/', 'ledger', rank=2),
-        _make_route('status', '/status/', 'ledger', rank=1),
-        _make_route('mark', f'/mark/{label}/', 'ledger', rank=2),
+        _make_route('look', '/look/', 'desk', 1),
+        _make_route('pay', '/pay/', 'desk', 0),
+        _make_route('history', '/history/', 'ledger', 2),
+        _make_route('status', '/status/', 'ledger', 1),
+        _make_route('mark', f'/mark/{label}/', 'ledger', 2),
     ]
+    timeout_ms = TIMEOUT_MS + label % TIMEOUTS
     routes.extend(
-        _make_route(f'more-{number}', f'/more/{number}/', 'ledger', rank=2)
+        _make_route(
+            f'more-{number}', f'/more/{number}/', 'ledger', 2, timeout_ms
+        )
         for number in range(extra)
     )
     if not valid:
-        routes.append(_make_route('wrong', '/wrong/', 'nowhere', rank=2))
+        routes.append(_make_route('wrong', '/wrong/', 'nowhere', 2))
     services = [
         ServicePolicy(service=name, health_path='/health', connections=64)
         for name in ('desk', 'ledger')
@@ -66,7 +71,11 @@
 
 
 def _make_route(
-    name: str, prefix: str, service: str, *, rank: int
+    name: str,
+    prefix: str,
+    service: str,
+    rank: int,
+    timeout_ms: int = TIMEOUT_MS,
 ) -> HostRoute:
     return HostRoute(
         name=name,
@@ -74,7 +83,7 @@
         prefix=prefix,
         repeatable=name != 'pay',
         public=name == 'status',
-        timeout_ms=DEADLINES_MS.get(name, 1000),
+        timeout_ms=DEADLINES_MS.get(name, timeout_ms),
         target_ms=500,
         rank=rank,
         tries=2,
