Polls of nodes with an older base do not rebuild its manifest each time

Found on reading: of all but the newest version only undos are kept, and each poll looked up the version that its node holds, before the scope kept for it. The scope is looked up first now; whether a version is kept is a comparison of numbers. test_polls_of_one_base_rebuild_its_version_once.

--- a/papayalock/control/distributor.py
+++ b/papayalock/control/distributor.py
@@ -328,7 +328,7 @@
         released one takes its place.
         """
         info = self._notified_version
-        if info is None or self._ledger.version_info(info.version) is not None:
+        if info is None or self._ledger.history.keeps(info.version):
             return info
         self._notified_version = self.released_version(self._zone)
         return self._notified_version
--- a/papayalock/core/distribute.py
+++ b/papayalock/core/distribute.py
@@ -121,12 +121,19 @@
         A delta cannot start from a version that is no longer kept or whose
         digest differs from the node's.
         """
-        info = self._ledger.version_info(held.version)
-        if info is None:
+        if not self._ledger.history.keeps(held.version):
             return None
-        scope = self.scope(info, held.held_service, held.held_extra)
+        scope = self._held_scope(held)
         return scope if scope.digest == held.digest else None
 
+    def _held_scope(self, held: HeldConfig) -> Scope:
+        key = (held.version, held.held_service, held.held_extra)
+        scope = self._scopes.get(key)
+        if scope is not None:
+            return scope
+        info = self._ledger.history.rebuild(held.version)
+        return self.scope(info, held.held_service, held.held_extra)
+
     def target_scope(self, held: HeldConfig, info: VersionInfo) -> Scope:
         """Returns the scope that a node should hold at a version."""
         return self.scope(info, held.service, held.extra)
--- a/papayalock/core/history.py
+++ b/papayalock/core/history.py
@@ -106,14 +106,19 @@
         self._append(info, undo)
         self._prune()
 
+    def keeps(self, version: int) -> bool:
+        """Whether a version is kept."""
+        if not self._infos:
+            return False
+        return self._infos[0].version <= version <= self._infos[-1].version
+
     def find(self, version: int) -> VersionInfo | None:
         """Returns a kept version with its parts, or None."""
-        if not self._infos:
-            return None
-        position = version - self._infos[0].version
-        if not 0 <= position < len(self._infos):
-            return None
-        return self._with_parts(position)
+        return self.rebuild(version) if self.keeps(version) else None
+
+    def rebuild(self, version: int) -> VersionInfo:
+        """Returns a version that is kept with its parts."""
+        return self._with_parts(version - self._infos[0].version)
 
     def find_by_index(self, index: int) -> VersionInfo | None:
         """Returns the newest version whose log index is at most ``index``."""
--- a/test/test_retention.py
+++ b/test/test_retention.py
@@ -283,6 +283,26 @@
         delta = msgspec.json.decode(encoded, type=Delta)
         assert (delta.base, len(delta.parts)) == (0, 303)
 
+    def test_polls_of_one_base_rebuild_its_version_once(self, monkeypatch):
+        ledger = small_ledger(64 * MIB)
+        source = DeltaSource(ledger)
+        publish(ledger, 1, 5)
+        digest = source.scope(ledger.history.newest, 'floor', ()).digest
+        source = DeltaSource(ledger)
+        for label in range(2, 9):
+            publish(ledger, label, 5)
+        rebuilt = []
+        rebuild = type(ledger.history).rebuild
+
+        def spy(history, version):
+            rebuilt.append(version)
+            return rebuild(history, version)
+
+        monkeypatch.setattr(type(ledger.history), 'rebuild', spy)
+        for _ in range(9):
+            assert source.base_scope(self.held(1, digest)) is not None
+        assert rebuilt == [1]
+
     def test_the_oldest_entry_of_a_full_cache_goes_first(self):
         cache: SizedCache[str, int] = SizedCache(10)
         cache.put('a', 1, 4)
