--- a/test/test_preparation.py
+++ b/test/test_preparation.py
@@ -5,7 +5,7 @@
 import pytest
 
 from papayalock.commands import Noop, decode_command, encode_command
-from papayalock.control.preparation import LARGE_PAYLOAD_CHARS
+from papayalock.control.preparation import LARGE_PAYLOAD_CHARS, Preparer
 from papayalock.core.ledger import Ledger
 from papayalock.messages import Publish
 from papayalock.result import Code, PapayalockError
@@ -22,6 +22,11 @@
     return decode_command(encode_command(command))
 
 
+def never(_preparer, _entry) -> bool:
+    """Holds back every large entry."""
+    return False
+
+
 class TestLedger:
     def ledgers(self) -> tuple[Ledger, Ledger]:
         pair = [Ledger(history=9, audit_records=99) for _ in range(2)]
@@ -88,14 +93,14 @@
         assert ledger.version == 3
 
     # Guards against reads of a state that lags behind the applied index.
-    def test_an_entry_that_is_held_back_does_not_count_as_applied(self):
+    def test_an_entry_that_is_held_back_does_not_count_as_applied(
+        self, monkeypatch
+    ):
         async def scenario():
             group = make_group(MemoryDisk())
             task = await start_leading(group)
-            preparer = group._preparer
-            is_prepared = type(preparer)._is_prepared
-            type(preparer)._is_prepared = lambda *_: False
-            try:
+            with monkeypatch.context() as held_back:
+                held_back.setattr(Preparer, '_is_prepared', never)
                 proposal = asyncio.ensure_future(group.propose(self.large(1)))
                 await asyncio.sleep(5)
                 index = await group.read_index()
@@ -103,8 +108,6 @@
                     await group.wait_applied(index)
                 held = proposal.done(), group.machine.version
                 leads = group.replica.is_leader
-            finally:
-                type(preparer)._is_prepared = is_prepared
             result = await proposal
             await group.wait_applied(index)
             await stop(task)
@@ -117,20 +120,16 @@
             Code.DONE,
         )
 
-    def test_entries_behind_a_held_one_wait_for_it(self):
+    def test_entries_behind_a_held_one_wait_for_it(self, monkeypatch):
         async def scenario():
             group = make_group(MemoryDisk())
             task = await start_leading(group)
-            preparer = group._preparer
-            is_prepared = type(preparer)._is_prepared
-            type(preparer)._is_prepared = lambda *_: False
-            try:
+            with monkeypatch.context() as held_back:
+                held_back.setattr(Preparer, '_is_prepared', never)
                 large = asyncio.ensure_future(group.propose(self.large(1)))
                 behind = asyncio.ensure_future(group.propose(Noop(kind='noop')))
                 await asyncio.sleep(1)
                 waited = behind.done()
-            finally:
-                type(preparer)._is_prepared = is_prepared
             await asyncio.gather(large, behind)
             await stop(task)
             return waited
