--- a/papayalock/core/retention.py
+++ b/papayalock/core/retention.py
@@ -1,7 +1,7 @@
 """How much memory a control VM uses for the past, and for what."""
 
 BYTES_PER_MB = 1_048_576
-MEMORY_SHARE = 4  # the past takes one part in this many of the memory
+MEMORY_SHARE = 5  # one part in this many; a snapshot needs room for copies
 DEFAULT_BYTES = 67_108_864
 
 
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -179,7 +179,7 @@
     bytes: Annotated[
         int,
         Meta(
-            description='Memory for past versions, the log, the audit trail and encoded deltas; 0 for a quarter of memory_mb.',
+            description='Memory for past versions, the log, the audit trail and encoded deltas; 0 for a fifth of memory_mb.',
             ge=0,
             le=1099511627776,
         ),
