Return large freed buffers of a control VM to the system

Within its bounds a control VM still used three times the figure for the past: glibc raises the size from which it maps buffers once one is freed, up to 32 MB, and from then on keeps freed ones in the heap of each thread. A fixed threshold of 128 KB returns them.

--- a/bench/experiments/retention.py
+++ b/bench/experiments/retention.py
@@ -16,6 +16,7 @@
 from bench.routesets import SERVICES, split_routes
 from papayalock.clock import SystemClock
 from papayalock.config import make_settings
+from papayalock.control import heap
 from papayalock.control.disk import FileDisk
 from papayalock.control.group import CONFIG_GROUP, RaftGroup
 from papayalock.control.groupfactory import make_group
@@ -45,6 +46,7 @@
 
 def run(seed: int) -> dict[str, float]:
     """Measures the memory after each number of changes, and at a start."""
+    heap.configure()
     with tempfile.TemporaryDirectory() as folder:
         figures = asyncio.run(_change_often(Path(folder), random.Random(seed)))
         figures['files_mb'] = sum(
@@ -126,6 +128,7 @@
 
 
 async def _replay(folder: Path) -> float:
+    heap.configure()
     group = _make_replica(folder, random.Random(1))
     peak_mb = _resident_mb()
     task = asyncio.create_task(group.run())
--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import functools
-import gc
 import logging
 import random
 import secrets
@@ -13,7 +12,7 @@
 from aioprometheus import Registry
 
 from papayalock.clock import SystemClock
-from papayalock.control import listeners
+from papayalock.control import heap, listeners
 from papayalock.control.anyzone import AnyZoneDistributor
 from papayalock.control.coordinator import Coordinator, claims_group_name
 from papayalock.control.disk import FileDisk
@@ -59,7 +58,6 @@
 MAX_QUOTA_BYTES = 1_048_576  # of a request for tokens
 MAX_QUOTA_CONNECTIONS = 3000
 METRICS_CONTENT_TYPE = (b'content-type', b'text/plain; version=0.0.4')
-GC_THRESHOLD = 20_000  # a large route set creates as many objects at once
 STOP_TIMEOUT_S = 1  # longest wait for pending long polls at a planned stop
 
 
@@ -331,8 +329,7 @@
 
     :param path: the settings file, reloaded when it changes
     """
+    heap.configure()
     vm = ControlVm(settings, operator)
     watcher = SettingsWatcher(path, settings, vm.apply_settings)
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
     await watcher.run_alongside(vm.run())
--- a/test/test_retention.py
+++ b/test/test_retention.py
@@ -1,13 +1,16 @@
 """What a control VM keeps of the past: bounded in bytes, whatever changes."""
 
 import asyncio
+import gc
 import tracemalloc
 from collections import deque
+from types import SimpleNamespace
 
 import msgspec
 import pytest
 
 from papayalock.config import make_settings
+from papayalock.control import heap
 from papayalock.control.peertransport import take_batch
 from papayalock.control.statepack import pack_state, unpack_state
 from papayalock.control.storage import GroupStorage
@@ -418,6 +421,34 @@
         assert len(pack_state(state)) < len(state) / 2
 
 
+class TestHeap:
+    @pytest.fixture(autouse=True)
+    def restore_collector(self):
+        threshold = gc.get_threshold()
+        yield
+        gc.set_threshold(*threshold)
+        gc.unfreeze()
+
+    def options(self, monkeypatch, library):
+        set_options = {}
+        library.mallopt = set_options.__setitem__
+        monkeypatch.setattr(heap.ctypes, 'CDLL', lambda _: library)
+        heap.configure()
+        return set_options
+
+    # Guards against freed buffers that stay in the heap of each thread.
+    def test_large_buffers_go_back_to_the_system(self, monkeypatch):
+        options = self.options(monkeypatch, SimpleNamespace())
+        assert options == {heap.MMAP_THRESHOLD_OPTION: 128 * KIB}
+
+    def test_a_c_library_without_the_option_is_logged(
+        self, monkeypatch, caplog
+    ):
+        monkeypatch.setattr(heap.ctypes, 'CDLL', lambda _: SimpleNamespace())
+        heap.configure()
+        assert 'mallopt' in caplog.text
+
+
 class TestSettings:
     def settings(self, **retention):
         return make_settings(
