One look-up of a scope, one count of the log's bytes, one rule for a part's callers

Found on reading the whole change once more; behaviour stays as it is. - DeltaSource looked a base's scope up twice, in a method beside the one for targets: scope takes the number of a version now and rebuilds it only when it is not cached. - The group wrote the compactor's counter in two places; Compactor.count and start_anew own it. - The rule who may call a part stood twice in partstore, and PartOwner decoded an unused name. - statepack had its own copy of the compression level; it takes that of compression. Tests pass a version's number where they passed the version; their assertions are unchanged.

--- a/papayalock/control/compaction.py
+++ b/papayalock/control/compaction.py
@@ -7,9 +7,12 @@
 from papayalock.control.statepack import pack_state
 from papayalock.control.storage import GroupStorage
 from papayalock.core.raft import Replica
+from papayalock.messages import Entry
 
 log = logging.getLogger(__name__)
 
+ENTRY_BYTES = 256  # memory of a log entry beside its payload
+
 
 class Compaction:
     """A snapshot that is being compressed.
@@ -68,6 +71,14 @@
         self._log_bytes = log_bytes
         self._compaction: Compaction | None = None
 
+    def count(self, entry: Entry) -> None:
+        """Counts an entry that is applied."""
+        self.applied_bytes += len(entry.payload) + ENTRY_BYTES
+
+    def start_anew(self) -> None:
+        """Counts from zero, as an installed snapshot replaced the entries."""
+        self.applied_bytes = 0
+
     async def run(self) -> None:
         """Begins a compaction that is due, or ends one that is compressed.
 
--- a/papayalock/control/group.py
+++ b/papayalock/control/group.py
@@ -24,7 +24,6 @@
 READ_TIMEOUT_S = 0.8  # longest wait for a quorum to confirm a read
 READ_POLL_S = 0.005
 MAX_BATCH_INPUTS = 1024
-ENTRY_BYTES = 256  # memory of a log entry beside its payload
 
 
 class Proposal:
@@ -249,9 +248,9 @@
         if effects.installed_snapshot is not None:
             state = effects.installed_snapshot.state
             self.machine.load(unpack_state(state))
-            self.compactor.applied_bytes = 0
+            self.compactor.start_anew()
         for entry in effects.committed:
-            self.compactor.applied_bytes += len(entry.payload) + ENTRY_BYTES
+            self.compactor.count(entry)
             command = self._preparer.command_of(entry)
             result = self.machine.apply(entry.index, command)
             self._resolve_proposal(entry, result)
--- a/papayalock/control/statepack.py
+++ b/papayalock/control/statepack.py
@@ -8,10 +8,10 @@
 import binascii
 import zlib
 
+from papayalock.compression import COMPRESSION_LEVEL
 from papayalock.result import Code, StorageError
 
 PACKED_PREFIX = 'z1:'
-COMPRESSION_LEVEL = 1  # the fastest; higher levels save little here
 
 
 def pack_state(state: bytes) -> str:
--- a/papayalock/core/distribute.py
+++ b/papayalock/core/distribute.py
@@ -92,12 +92,13 @@
         return self._deltas.size + self._scopes.size
 
     def scope(
-        self, info: VersionInfo, service: str, extra: tuple[str, ...]
+        self, version: int, service: str, extra: tuple[str, ...]
     ) -> Scope:
-        """Returns the parts of a version that are in a node's scope."""
-        key = (info.version, service, extra)
+        """Returns the parts of a kept version that are in a node's scope."""
+        key = (version, service, extra)
         scope = self._scopes.get(key)
         if scope is None:
+            info = self._ledger.history.rebuild(version)
             scope = self._build_scope(info, service, extra)
             size = ENTRY_BYTES + SCOPE_PART_BYTES * len(scope.manifest)
             self._scopes.put(key, scope, size)
@@ -123,20 +124,12 @@
         """
         if not self._ledger.history.keeps(held.version):
             return None
-        scope = self._held_scope(held)
+        scope = self.scope(held.version, held.held_service, held.held_extra)
         return scope if scope.digest == held.digest else None
 
-    def _held_scope(self, held: HeldConfig) -> Scope:
-        key = (held.version, held.held_service, held.held_extra)
-        scope = self._scopes.get(key)
-        if scope is not None:
-            return scope
-        info = self._ledger.history.rebuild(held.version)
-        return self.scope(info, held.held_service, held.held_extra)
-
     def target_scope(self, held: HeldConfig, info: VersionInfo) -> Scope:
         """Returns the scope that a node should hold at a version."""
-        return self.scope(info, held.service, held.extra)
+        return self.scope(info.version, held.service, held.extra)
 
     def encoded_delta(self, held: HeldConfig, info: VersionInfo) -> msgspec.Raw:
         """Returns the encoded delta from what a node holds to a version."""
--- a/papayalock/core/partstore.py
+++ b/papayalock/core/partstore.py
@@ -15,7 +15,6 @@
 class PartOwner(msgspec.Struct):
     """The fields of an encoded part that decide who holds it."""
 
-    service: str
     callers: list[str]
     shared: bool = False
 
@@ -23,6 +22,11 @@
 _OWNER = msgspec.json.Decoder(PartOwner)
 
 
+def _allowed_callers(owner: Part | PartOwner) -> tuple[str, ...]:
+    """Returns the services that may call it; () for a shared part."""
+    return () if owner.shared else tuple(owner.callers)
+
+
 class PartText:
     """A part as JSON text, with the digest of it."""
 
@@ -33,7 +37,7 @@
         self.name = part.service
         self.text = encode_part(part)
         self.digest = encoded_digest(self.text)
-        self.callers = () if part.shared else tuple(part.callers)
+        self.callers = _allowed_callers(part)
 
 
 class StoredPart:
@@ -42,10 +46,7 @@
     __slots__ = ('callers', 'text', 'uses')
 
     def __init__(self, text: bytes, callers: tuple[str, ...]) -> None:
-        """Starts without uses.
-
-        :param callers: services that may call it; () for a shared part
-        """
+        """Starts without uses."""
         self.text = text
         self.callers = callers
         self.uses = 0
@@ -99,8 +100,7 @@
 
     def restore(self, digest: str, text: bytes) -> None:
         """Stores a part of a snapshot."""
-        owner = _OWNER.decode(text)
-        self._add(digest, text, () if owner.shared else tuple(owner.callers))
+        self._add(digest, text, _allowed_callers(_OWNER.decode(text)))
 
     def retain(self, digest: str) -> None:
         """Counts a further use of a part."""
--- a/test/test_anyzone.py
+++ b/test/test_anyzone.py
@@ -166,7 +166,7 @@
     def test_a_new_version_wakes_a_pending_poll(self):
         async def scenario(harness):
             info = harness.group.machine.history.newest
-            scope = harness.distributor._source.scope(info, '', ())
+            scope = harness.distributor._source.scope(info.version, '', ())
             poll = asyncio.create_task(
                 harness.sync(
                     version=1, digest=scope.digest, epoch='e', wait_ms=5000
@@ -190,7 +190,7 @@
         async def scenario(harness):
             attach_servers(harness, 'floor', 'spare')
             info = harness.group.machine.history.newest
-            scope = harness.distributor._source.scope(info, '', ())
+            scope = harness.distributor._source.scope(info.version, '', ())
             await harness.group.propose(Publish(route_set=change))
             await asyncio.sleep(0.1)
             return await harness.sync(
--- a/test/test_retention.py
+++ b/test/test_retention.py
@@ -278,7 +278,7 @@
         ledger = small_ledger(MIB)
         source = DeltaSource(ledger)
         publish(ledger, 1, 300)
-        scope = source.scope(ledger.history.newest, 'floor', ())
+        scope = source.scope(1, 'floor', ())
         held = self.held(1, scope.digest)
         for label in range(2, 9):
             publish(ledger, label, 300)
@@ -290,7 +290,7 @@
         ledger = small_ledger(64 * MIB)
         source = DeltaSource(ledger)
         publish(ledger, 1, 5)
-        digest = source.scope(ledger.history.newest, 'floor', ()).digest
+        digest = source.scope(1, 'floor', ()).digest
         source = DeltaSource(ledger)
         for label in range(2, 9):
             publish(ledger, label, 5)
