--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -336,6 +336,7 @@
         self.work_s = {}
         self.work_of_path = {}
         self.body_bytes = {}
+        self.working = []  # paths of the requests that run now
         self._free = asyncio.Semaphore(slots)
         self._waiting = 0
         self._server = None
@@ -350,6 +351,15 @@
         self.lab.record(f'server {self.id}: starts beside {self.machine.name}')
         self._beat_task = asyncio.create_task(self._beat_always())
 
+    async def crash(self, down_s):
+        """Ends at once, and starts again later, as a new boot."""
+        self.lab.record(f'server {self.id}: crashes')
+        await self.stop()
+        await asyncio.sleep(down_s)
+        self.id = f'i-{secrets.token_hex(4)}'
+        self.sequence = 0
+        await self.start()
+
     async def stop(self):
         if self._beat_task is not None:
             self._beat_task.cancel()
@@ -443,6 +453,7 @@
                 f'server {self.id}: runs {call} ({method} {path}, '
                 f'{len(body)} bytes, from {caller})'
             )
+            self.working.append(path)
             work = asyncio.create_task(asyncio.sleep(self._work_s(call, path)))
             gone = asyncio.create_task(self._closed(reader))
             await asyncio.wait(
@@ -464,6 +475,8 @@
             )
             self.lab.record(f'server {self.id}: answers {call} with 200')
         finally:
+            if path in self.working:
+                self.working.remove(path)
             self._free.release()
 
     def _work_s(self, call, path):
