--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -697,12 +697,16 @@
                 lab.record(f'BROKEN: {fault}')
             lab.record('the rule was broken' if faults else 'the rule held')
             return BROKEN if faults else HELD
-        except (CannotRun, TimeoutError) as exc:
+        except Exception as exc:
             lab.record(f'the case could not run: {exc!r}')
             return NOT_RUN
         finally:
             await lab.end()
 
-    code = asyncio.run(run())
+    try:
+        code = asyncio.run(run())
+    except Exception as exc:
+        print(f'the case could not run: {exc!r}')
+        sys.exit(NOT_RUN)
     print(Path(folder, 'record.txt').read_text().splitlines()[-1])
     sys.exit(code)
