--- a/models/members.pml
+++ b/models/members.pml
@@ -2,7 +2,7 @@
  *
  * Members 0, 1 and 2 are the first voters. Member 2 may lose its disk once; its
  * VM then returns under a new name, as member 3, which is a learner. The first
- * entry of a log is a write, the second removes voter 2, the third promotes 3.
+ * entry of a log is a write, the second promotes 3, the third removes voter 2.
  * Each member counts votes and copies by the member set of its own log.
  */
 #define N 4
@@ -35,10 +35,12 @@
 #define removed(i) (r[i].size >= 2)
 #define promoted(i) (r[i].size >= 2)
 #else
-#define removed(i) (r[i].size >= 2)
-#define promoted(i) (r[i].size >= 3)
+#define promoted(i) (r[i].size >= 2)
+#define removed(i) (r[i].size >= 3)
 #endif
 #endif
+/* Four voters between the two changes, three before and after them. */
+#define majority(i) (promoted(i) && !removed(i) -> 3 : 2)
 #define voter(i, x) (x < 2 || (x == 2 && !removed(i)) || (x == 3 && promoted(i)))
 
 /* Whether leader i may append: a change waits until the one before is committed. */
@@ -101,7 +103,7 @@
         :: else -> break
         od;
         if
-        :: n >= 2 ->
+        :: n >= majority(i) ->
             r[i].leads = 1;
             k = 0;
             do /* a leader has all entries committed in earlier terms */
@@ -149,7 +151,7 @@
         :: else -> break
         od;
         if
-        :: n >= 2 && r[i].log[k] == r[i].term ->
+        :: n >= majority(i) && r[i].log[k] == r[i].term ->
             committed[k] = r[i].log[k]; since[k] = r[i].term;
             do /* and all earlier entries */
             :: k > 0 && committed[k - 1] == 0 ->
--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -22,7 +22,10 @@
 from papayalock.control.groupfactory import make_group
 from papayalock.control.httpprotocol import LimitedHttpProtocol
 from papayalock.control.identity import Identity, load_or_create_identity
-from papayalock.control.membermanager import MemberManager
+from papayalock.control.memberfactory import (
+    make_member_manager,
+    make_member_policy,
+)
 from papayalock.control.peertransport import PeerTransport
 from papayalock.control.quotaservice import QuotaService
 from papayalock.control.rolloutapi import RolloutApi
@@ -36,10 +39,9 @@
 from papayalock.core.distribute import SnapshotLimiter
 from papayalock.core.endpoints import EndpointTable, ExistenceTracker
 from papayalock.core.ledger import Ledger
-from papayalock.core.memberpolicy import MemberPolicy
 from papayalock.core.retention import RetentionBudget, retention_bytes
 from papayalock.dialect import OperatorDialect
-from papayalock.messages import JoinReq, Member
+from papayalock.messages import Member
 from papayalock.node.http import Call, Reply
 from papayalock.pool import Pool
 from papayalock.reload import SettingsWatcher
@@ -135,7 +137,9 @@
         )
         if isinstance(distributor, AnyZoneDistributor):
             distributor.read_index = self.coordinator.read_index
-        self.member_manager = self._make_member_manager()
+        self.member_manager = make_member_manager(
+            settings, self.coordinator, self.pool
+        )
         self.rollouts = RolloutManager(
             self.coordinator,
             self._clock,
@@ -150,7 +154,7 @@
         )
         self.server = ControlServer(
             self.coordinator,
-            StatusReader(self.coordinator, settings.zone),
+            StatusReader(self.coordinator, self.member_manager, settings.zone),
             Registry(),
             operator,
             self.member_manager,
@@ -228,6 +232,7 @@
     def apply_settings(self, settings: Settings) -> None:
         """Applies the reloaded settings that may change while running."""
         self.member_manager.seeds = settings.control.addresses
+        self.member_manager.policy = make_member_policy(settings.control)
 
     def _on_task_done(self, task: 'asyncio.Task[None]') -> None:
         """Stops the process when one of its tasks has failed."""
@@ -270,24 +275,6 @@
         ]
         return Identity(settings.name, [] if control.join else first)
 
-    def _make_member_manager(self) -> MemberManager:
-        settings = self._settings
-        join_req = JoinReq(
-            member=self._identity.member,
-            address=settings.advertise or settings.listen,
-            zone=settings.zone,
-        )
-        policy = MemberPolicy(
-            settings.control.voters, settings.control.silent_ms / MS_PER_S
-        )
-        return MemberManager(
-            self.coordinator,
-            join_req,
-            settings.control.addresses,
-            policy,
-            self.pool,
-        )
-
     def _make_distributor(self, ledger: Ledger) -> Distributor:
         settings = self._settings
         distribution = settings.distribution
--- a/papayalock/control/membermanager.py
+++ b/papayalock/control/membermanager.py
@@ -6,7 +6,12 @@
 import msgspec
 
 from papayalock.control.coordinator import Coordinator
-from papayalock.core.memberpolicy import MemberPolicy, MemberProgress
+from papayalock.core.memberpolicy import (
+    MemberPolicy,
+    MemberProgress,
+    MemberView,
+)
+from papayalock.core.raft import Replica
 from papayalock.httpclient import TransportError
 from papayalock.messages import JoinReq, JoinRes, Member
 from papayalock.pool import Pool, json_request
@@ -26,9 +31,10 @@
 class MemberManager:
     """Maintains the member set of the config group without an operator.
 
-    A control VM that knows no leader asks the others to add it. The leader
-    collects these join requests, and proposes one member change at a time as
-    its :class:`MemberPolicy` decides.
+    A control VM that no leader contacts, or whose availability zone is not
+    recorded, asks the others to add it. The leader collects these join
+    requests, and proposes one member change at a time as its
+    :class:`MemberPolicy` decides.
     """
 
     def __init__(
@@ -45,19 +51,34 @@
         :param seeds: addresses of control VMs to ask, besides known members
         """
         self.seeds = seeds
+        self.policy = policy
         self._coordinator = coordinator
         self._join_req = join_req
-        self._policy = policy
         self._pool = pool
         self._joiners: dict[str, tuple[JoinReq, float]] = {}
         self._next_join = 0.0
         self._join_count = 0
+        self._logged_shortfall = 0
+
+    @property
+    def _replica(self) -> Replica:
+        return self._coordinator.config_group.replica
+
+    @property
+    def shortfall(self) -> int:
+        """Voters that a majority lacks after tolerated losses; 0 if unknown.
+
+        Only the leader knows which voters respond.
+        """
+        if not self._replica.is_leader:
+            return 0
+        return self.policy.shortfall(self._view(self._coordinator.now()))
 
     async def run(self) -> None:
         """Maintains the members or joins, until cancelled."""
         while True:
             await asyncio.sleep(TICK_S)
-            if self._coordinator.config_group.replica.is_leader:
+            if self._replica.is_leader:
                 await self._maintain_members()
             else:
                 self._joiners.clear()
@@ -79,15 +100,16 @@
         return msgspec.convert(res, JoinRes)
 
     async def _maintain_members(self) -> None:
-        replica = self._coordinator.config_group.replica
+        replica = self._replica
         now = self._coordinator.now()
         joiners = [
             req
             for req, at in self._joiners.values()
             if now - at < JOIN_REQUEST_TTL_S
         ]
-        change = self._policy.next_change(
-            replica.cfg.name, replica.log.members, self._standings(now), joiners
+        self._log_shortfall()
+        change = self.policy.next_change(
+            self._view(now), [self._join_req, *joiners]
         )
         if change is None or not replica.can_change_members():
             return
@@ -103,10 +125,28 @@
                 extra={'code': exc.code, 'reason': str(exc)},
             )
 
-    def _standings(self, now: float) -> dict[str, MemberProgress]:
-        replica = self._coordinator.config_group.replica
+    def _log_shortfall(self) -> None:
+        shortfall = self.shortfall
+        if shortfall == self._logged_shortfall:
+            return
+        self._logged_shortfall = shortfall
+        voters = [
+            f'{vm.member} in {vm.zone or "an unknown zone"}'
+            for vm in self._replica.log.members
+            if vm.voter
+        ]
+        log.warning(
+            'voters would not survive the tolerated losses'
+            if shortfall
+            else 'voters survive the tolerated losses',
+            extra={'missing': shortfall, 'voters': voters},
+        )
+
+    def _view(self, now: float) -> MemberView:
+        """Returns the members as this VM sees them as leader."""
+        replica = self._replica
         last = replica.log.last_index
-        return {
+        progress = {
             name: MemberProgress(
                 unresponsive_s=now
                 - max(progress.acked_sent_at, replica.elected_at),
@@ -114,19 +154,25 @@
             )
             for name, progress in replica.peers.items()
         }
+        return MemberView(replica.cfg.name, replica.log.members, progress)
 
     async def _join(self) -> None:
-        """Asks one of the other VMs in turn to join, while no leader is known."""
-        replica = self._coordinator.config_group.replica
+        """Asks one of the other VMs in turn to join, unless that is done."""
         now = self._coordinator.now()
-        if replica.leader or now < self._next_join:
+        if now < self._next_join or not self._must_join(now):
             return
         self._next_join = now + JOIN_INTERVAL_S
-        targets = self._targets(replica.log.members)
-        if not targets:
-            return
-        self._join_count += 1
-        address = targets[self._join_count % len(targets)]
+        targets = self._targets(self._replica.log.members)
+        if targets:
+            self._join_count += 1
+            await self._ask(targets[self._join_count % len(targets)])
+
+    def _must_join(self, now: float) -> bool:
+        own = self._replica.own_member
+        recorded = own is not None and own.zone == self._join_req.zone
+        return not (recorded and self._replica.hears_leader(now))
+
+    async def _ask(self, address: str) -> None:
         body = msgspec.json.encode(self._join_req)
         req = json_request(b'POST', '/v1/join', address, body)
         try:
--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -296,6 +296,8 @@
             'applied': replica.applied,
             'log_entries': replica.log.last_index - replica.log.snapshot.index,
             'members': len(replica.log.members),
+            'voters': sum(vm.voter for vm in replica.log.members),
+            'missing_voters': self._member_manager.shortfall,
             'leased': int(leased),
             'label': coordinator.ledger.route_sets.label,
             'rollouts': self._rollouts.running,
--- a/papayalock/control/status.py
+++ b/papayalock/control/status.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from papayalock.control.coordinator import Coordinator
+from papayalock.control.membermanager import MemberManager
 from papayalock.messages import (
     AuditRecord,
     HeldAnswer,
@@ -41,6 +42,7 @@
     leased: bool
     disk_full: bool
     members: list[Member]
+    missing_voters: int
     nodes: list[NodeStatus]
     services: dict[str, int]
 
@@ -64,12 +66,18 @@
     answers it.
     """
 
-    def __init__(self, coordinator: Coordinator, zone: str) -> None:
+    def __init__(
+        self,
+        coordinator: Coordinator,
+        member_manager: MemberManager,
+        zone: str,
+    ) -> None:
         """Registers the readers.
 
         :param zone: availability zone of this control VM
         """
         self._coordinator = coordinator
+        self._member_manager = member_manager
         self._zone = zone
         self.readers: dict[str, Callable[[Fields], msgspec.Struct]] = {
             'status': self._status,
@@ -97,6 +105,7 @@
             leased=replica.has_lease(coordinator.now()),
             disk_full=coordinator.config_group.disk_full,
             members=replica.log.members,
+            missing_voters=self._member_manager.shortfall,
             nodes=self._nodes(),
             services=services,
         )
--- a/papayalock/core/follower.py
+++ b/papayalock/core/follower.py
@@ -8,6 +8,10 @@
 class FollowerRole(ElectionRole):
     """Handles the messages of a leader."""
 
+    def hears_leader(self, now: float) -> bool:
+        """Whether a leader contacted this replica within an election timeout."""
+        return bool(self.leader) and self._leader_is_live(now)
+
     def _reject_append(self, msg: PeerMessage) -> None:
         self._send(
             msg.sender, 'append_res', index=self.log.last_index, round=msg.round
--- a/papayalock/core/raftlog.py
+++ b/papayalock/core/raftlog.py
@@ -28,14 +28,20 @@
         adopts = sorted({*adopts, *change.member.adopts})
     return Member(
         member=current.member,
-        zone=current.zone,
+        zone=change.member.zone if change.action == 'locate' else current.zone,
         address=current.address,
-        voter=current.voter or change.action == 'promote',
+        voter=_votes(current, change),
         fenced=_fenced(current, change),
         adopts=adopts,
     )
 
 
+def _votes(current: Member, change: SetMember) -> bool:
+    if change.action == 'promote':
+        return True
+    return current.voter and change.action != 'demote'
+
+
 def _fenced(current: Member, change: SetMember) -> bool:
     if change.action == 'fence':
         return True
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -1226,7 +1226,9 @@
     Command that changes the membership of one control VM.
     """
 
-    action: Literal['add', 'promote', 'fence', 'unfence', 'remove', 'adopt']
+    action: Literal[
+        'add', 'locate', 'promote', 'demote', 'fence', 'unfence', 'remove', 'adopt'
+    ]
     member: Member
     kind: Literal['member'] = 'member'
     request: Annotated[str, Meta(max_length=64)] = ''
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -24,26 +24,14 @@
 Address: TypeAlias = Annotated[str, Meta(pattern='^[0-9.]+:[0-9]+$')]
 
 
-class ControlSettings(Struct):
+class ToleranceSettings(Struct):
     """
-    Control VMs and their membership.
+    Losses at the same time that the control VMs survive, each kind on its own.
     """
 
-    members: list[ControlMember]
-    addresses: Annotated[
-        list[Address],
-        Meta(description="Control VMs of the node's own availability zone."),
-    ]
-    join: bool
-    found: Annotated[
-        bool, Meta(description='Whether the addresses form the initial member set.')
-    ]
-    auto_members: Annotated[
-        bool,
-        Meta(description='Whether control VMs join and are replaced automatically.'),
-    ]
-    voters: Annotated[int, Meta(ge=1, le=9)]
-    silent_ms: Annotated[int, Meta(ge=100, le=600000)]
+    vms: Annotated[int, Meta(description='Control VMs.', ge=0, le=1000)]
+    zones: Annotated[int, Meta(description='Availability zones.', ge=0, le=1000)]
+    regions: Annotated[int, Meta(description='Regions.', ge=0, le=1000)]
 
 
 class GroupSettings(Struct):
@@ -322,6 +310,37 @@
     path: str
 
 
+class ControlSettings(Struct):
+    """
+    Control VMs and their membership.
+    """
+
+    members: list[ControlMember]
+    addresses: Annotated[
+        list[Address],
+        Meta(description="Control VMs of the node's own availability zone."),
+    ]
+    join: bool
+    found: Annotated[
+        bool, Meta(description='Whether the addresses form the initial member set.')
+    ]
+    auto_members: Annotated[
+        bool,
+        Meta(description='Whether control VMs join and are replaced automatically.'),
+    ]
+    voters: Annotated[
+        int,
+        Meta(
+            description='Least number of voters; the tolerance may require more.',
+            ge=1,
+            le=9,
+        ),
+    ]
+    tolerance: ToleranceSettings
+    regions: Annotated[dict[str, str], Meta(description='Region by availability zone.')]
+    silent_ms: Annotated[int, Meta(ge=100, le=600000)]
+
+
 class Settings(Struct):
     """
     All settings of one daemon.
--- a/papayalock/ui/status.py
+++ b/papayalock/ui/status.py
@@ -65,6 +65,8 @@
         words.append(f'leader is {status["leader"] or "unknown"}')
     if not status['leased']:
         words.append('no lease')
+    if status['missing_voters']:
+        words.append('voters would not survive the tolerated losses')
     if status['disk_full']:
         words.append('disk full')
     return ', '.join(words)
--- a/test/test_deploy.py
+++ b/test/test_deploy.py
@@ -9,6 +9,7 @@
 
 DEPLOY = Path(__file__).resolve().parent.parent / 'deploy'
 SEEDS = ['10.1.0.1:7', '10.2.0.1:7']
+ZONES = {'a': 'lagos', 'b-2': 'kano'}
 VALUES = {
     'node': 'sidecar-a-1',
     'zone': 'a',
@@ -41,7 +42,8 @@
 
 
 SECTION = re.compile(
-    r'\{\{#((?:bounds|limits)\..+?)\}\}(.*?)\{\{/\1\}\}', re.DOTALL
+    r'\{\{#((?:bounds|limits|fault_tolerance)\..+?)\}\}(.*?)\{\{/\1\}\}',
+    re.DOTALL,
 )
 
 
@@ -53,7 +55,16 @@
     def section(found: re.Match[str]) -> str:
         return found[2] if f'{found[1]}|json' in values else ''
 
+    def zones(found: re.Match[str]) -> str:
+        return ''.join(
+            found[1].replace('{{@}}', zone).replace('{{.}}', region)
+            for zone, region in ZONES.items()
+        )
+
     text = re.sub(SECTION, section, template)
+    text = re.sub(
+        r'\{\{#zones\}\}(.*?)\{\{/zones\}\}', zones, text, flags=re.DOTALL
+    )
     text = re.sub(r'\{\{#seeds\}\}(.*?)\{\{/seeds\}\}', seeds, text)
     return re.sub(r'\{\{(.+?)\}\}', lambda found: values[found[1]], text)
 
@@ -91,6 +102,25 @@
         path.write_text(render(template, {**VALUES, **overrides}))
         assert load_settings(path).quotas.port == (7660 if window else 0)
 
+    # Nobody read how many control VMs may be lost at the same time.
+    @pytest.mark.parametrize('lost', [None, 0, 1, 2, 12])
+    def test_voters_follow_the_losses_that_the_deployment_tolerates(
+        self, tmp_path, lost
+    ):
+        template = (DEPLOY / 'control.toml.in').read_text()
+        path = tmp_path / 'control.toml'
+        overrides = {
+            f'fault_tolerance.{kind}|json': str(lost)
+            for kind in ('machines', 'zones', 'regions')
+            if lost is not None
+        }
+        path.write_text(render(template, {**VALUES, **overrides}))
+        control = load_settings(path).control
+        told = (1, 0, 0) if lost is None else (lost, lost, lost)
+        tolerance = control.tolerance
+        assert (tolerance.vms, tolerance.zones, tolerance.regions) == told
+        assert control.regions == ZONES
+
     @pytest.mark.parametrize('share', [None, 0.1])
     def test_rollouts_are_on_where_the_deployment_bounds_exposure(
         self, tmp_path, share
