--- a/test/test_endless.py
+++ b/test/test_endless.py
@@ -401,6 +401,7 @@
             await reader.readuntil(b'\r\n\r\n')
             writer.write(OK)
             await writer.drain()
+            writer.close()
 
         async with await asyncio.start_server(
             serve, '127.0.0.1', 0
