--- a/papayalock/node/listener.py
+++ b/papayalock/node/listener.py
@@ -17,6 +17,7 @@
 MAX_HEADERS = 100
 HEADER_TIMEOUT_S = 10.0  # until a configuration states another one
 STOP_POLL_S = 0.01
+MAX_WAITING_BYTES = 65536  # of a reply written in pieces behind another one
 Handler = Callable[[Call, Reply], Awaitable[None]]
 
 
@@ -114,20 +115,25 @@
             self._close_idle()
         clean = not self.busy
         for conn in list(self.conns):
-            if conn.busy:
-                conn.abort()
+            if conn.busy and conn.transport is not None:
+                conn.transport.abort()
         return clean
 
 
 class PendingReply:
     """The writer of one reply among the pipelined replies of a connection.
 
-    Buffers what is written until all earlier replies are complete.
+    Buffers what is written until all earlier replies are complete. A reply that
+    breaks off ends the connection only then, so that the earlier ones arrive.
     """
 
     __slots__ = (
+        '_broken',
         '_buffered',
+        '_buffered_bytes',
         '_conn',
+        '_follows_unsent',
+        '_turn',
         '_writing',
         'closes_connection',
         'done',
@@ -141,14 +147,23 @@
         self.closes_connection = False
         self._conn = conn
         self._writing = False
+        self._broken = False
+        self._follows_unsent = False
+        self._turn: asyncio.Future[None] | None = None
         self._buffered: list[bytes] = []
+        self._buffered_bytes = 0
 
     def start_writing(self) -> None:
         """Writes what was buffered; later writes are not buffered any more."""
         self._writing = True
+        self._follows_unsent = unsent_bytes(self._conn.transport) > 0
         if self._buffered:
             self._conn.write(b''.join(self._buffered))
             self._buffered = []
+        if self._broken:
+            self._end_connection(flush=True)
+        if self._turn is not None and not self._turn.done():
+            self._turn.set_result(None)
 
     def cancel(self) -> None:
         """Cancels the call, since its caller disconnected."""
@@ -161,19 +176,38 @@
             self._conn.write(data)
         else:
             self._buffered.append(data)
+            self._buffered_bytes += len(data)
 
     async def wait_writable(self) -> None:
-        """Waits while the write buffer is full, as the caller reads slowly."""
+        """Waits while the caller reads slowly, or earlier replies do not end."""
         if self._writing:
             await self._conn.wait_writable()
+        elif self._buffered_bytes >= MAX_WAITING_BYTES:
+            self._turn = asyncio.get_running_loop().create_future()
+            await self._turn
 
     def abort(self) -> None:
-        """Closes the connection at once."""
-        self._conn.abort()
+        """Ends the connection once the earlier replies are sent."""
+        self._broken = True
+        if self._writing:
+            self._end_connection(flush=self._follows_unsent)
+
+    def _end_connection(self, *, flush: bool) -> None:
+        """Ends the connection, so that the caller sees a truncated response.
+
+        :param flush: whether to send what is buffered first
+        """
+        transport = self._conn.transport
+        if transport is None:
+            return
+        if flush:
+            transport.close()
+        else:
+            transport.abort()
 
     def stays_open(self) -> bool:
-        """Whether the connection accepts further calls after this reply."""
-        return not self._conn.is_final(self)
+        """Whether the connection stays open after this reply."""
+        return not self._conn.closes_after(self)
 
 
 class ServerConn(asyncio.Protocol):
@@ -197,6 +231,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._refused = False
+        self._expects_continue = False
 
     # Used by PendingReply.
 
@@ -210,11 +245,6 @@
         """Waits while the write buffer is full, as the caller reads slowly."""
         await self._writable.wait()
 
-    def abort(self) -> None:
-        """Closes the connection at once, without sending what is buffered."""
-        if self.transport is not None:
-            self.transport.abort()
-
     @property
     def busy(self) -> bool:
         """Whether a call is being read or run, or a response being sent."""
@@ -244,19 +274,17 @@
                 self._refuse(Code.BAD_REQUEST, 'the body stopped')
             self.close_if_idle()
 
-    def is_final(self, pending: 'PendingReply') -> bool:
-        """Whether a reply is the last one of a connection that is to close.
+    def closes_after(self, pending: 'PendingReply') -> bool:
+        """Whether the connection closes after a reply.
 
-        While the server stops, that is the reply to the last call received;
-        calls received later are ignored.
+        While the server stops, it closes after the reply to the last call
+        received. Once that reply says so, calls received later are ignored.
+        Replies to earlier calls may be written after it, and close nothing.
         """
-        if (
-            self._server.stopping
-            and self.replies
-            and self.replies[-1] is pending
-        ):
+        is_last = bool(self.replies) and self.replies[-1] is pending
+        if self._server.stopping and is_last:
             self._no_more_calls = True
-        return self._no_more_calls
+        return self._no_more_calls and is_last
 
     # Callbacks of the transport.
 
@@ -338,7 +366,8 @@
         if length and int(length) > self._server.limits.body_bytes:
             self._refuse(Code.TOO_LARGE, 'body is too large')
         elif call.header(b'expect').lower() == b'100-continue':
-            self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+            self._expects_continue = True
+            self._send_continue()
 
     def on_body(self, body: bytes) -> None:
         """Collects a piece of the body, within the limits."""
@@ -357,6 +386,7 @@
         self._call.body = b''.join(self._body)
         self._body = []
         self._head_bytes = 0
+        self._expects_continue = False
         if self._no_more_calls:
             return
         self._start(self._call)
@@ -365,6 +395,12 @@
             self._paused = True
             self.transport.pause_reading()
 
+    def _send_continue(self) -> None:
+        """Writes the interim response that a call waits for, in its turn."""
+        if self._expects_continue and not self.replies:
+            self._expects_continue = False
+            self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         limits = self._server.limits
@@ -411,6 +447,7 @@
                 return
             if self.replies:
                 self.replies[0].start_writing()
+        self._send_continue()
         if self._paused and len(self.replies) < self._server.limits.pipelined:
             self._paused = False
             transport.resume_reading()
--- a/test/test_pipelining.py
+++ b/test/test_pipelining.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from papayalock.node.http import Call, Reply
+from papayalock.node.listener import MAX_WAITING_BYTES
 from test.wires import server
 
 
@@ -111,6 +112,137 @@
         assert asyncio.run(play()) == ['/a']
 
 
+class StreamingHandler(Handler):
+    """Answers /long in pieces until the test ends or breaks it off."""
+
+    PIECE = b'x' * 4096
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.pieces = 0
+        self.breaks = asyncio.Event()
+
+    async def __call__(self, call: Call, reply: Reply) -> None:
+        if call.target != b'/long':
+            await super().__call__(call, reply)
+            return
+        reply.start(200, [], None)
+        while not self.breaks.is_set() and self.pieces < 1000:
+            await reply.send_piece(self.PIECE)
+            self.pieces += 1
+            await asyncio.sleep(0)
+        reply.abort()
+
+
+class TestOrderOfReplies:
+    # The head of the last reply made the earlier one close the connection.
+    def test_an_answer_that_was_ready_before_an_earlier_one_survives_a_stop(
+        self,
+    ):
+        async def play():
+            handler = Handler()
+            listening, side = server(handler, pipelined=4)
+            await side.feed(get('/slow') + get('/b') + get('/quick'))
+            listening.stopping = True
+            handler.answer('/quick')
+            await side.feed(b'')
+            handler.answer('/slow')
+            first = await side.feed(b'')
+            handler.answer('/b')
+            return first, await side.feed(b''), side.transport.closed
+
+        first, written, closed = asyncio.run(play())
+        assert b'connection: close' not in first
+        assert bodies(written) == ['/slow', '/b', '/quick']
+        assert written.count(b'connection: close') == 1
+        assert closed
+
+    def test_calls_behind_one_that_closes_the_connection_are_not_run(self):
+        async def play():
+            handler = Handler()
+            _, side = server(handler, pipelined=4)
+            last = b'GET /a HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n'
+            await side.feed(last)
+            await side.feed(get('/b'))
+            handler.answer('/a')
+            handler.answer('/b')
+            return handler.seen, bodies(await side.feed(b''))
+
+        assert asyncio.run(play()) == (['/a'], ['/a'])
+
+    # It ended the connection, and with it the earlier calls at work.
+    def test_a_reply_that_breaks_off_ends_the_connection_in_its_turn(self):
+        async def play():
+            handler = StreamingHandler()
+            _, side = server(handler, pipelined=4)
+            await side.feed(get('/a') + get('/b') + get('/long'))
+            handler.breaks.set()
+            await side.feed(b'')
+            closed_early = side.transport.closed
+            handler.answer('/b')
+            handler.answer('/a')
+            written = await side.feed(b'')
+            return closed_early, handler.cancelled, written, side.transport
+
+        closed_early, cancelled, written, transport = asyncio.run(play())
+        assert not closed_early
+        assert cancelled == []
+        assert bodies(written)[:2] == ['/a', '/b']
+        assert not written.endswith(b'0\r\n\r\n')
+        assert transport.closed
+
+    def test_unsent_answers_before_a_reply_that_breaks_off_are_sent(self):
+        async def play():
+            handler = StreamingHandler()
+            _, side = server(handler, pipelined=4)
+            await side.feed(get('/a') + get('/long'))
+            side.transport.unsent = 5000
+            handler.answer('/a')
+            await side.feed(b'')
+            handler.breaks.set()
+            await side.feed(b'')
+            return side.transport.closed, side.transport.aborted
+
+        assert asyncio.run(play()) == (True, False)
+
+    # It was kept whole in memory, outside the budget for bodies.
+    def test_a_long_answer_behind_a_slow_one_is_not_kept_whole(self):
+        async def play():
+            handler = StreamingHandler()
+            _, side = server(handler, pipelined=4)
+            await side.feed(get('/slow') + get('/long'))
+            for _ in range(3000):
+                await asyncio.sleep(0)
+            kept = handler.pieces * len(handler.PIECE)
+            handler.answer('/slow')
+            for _ in range(3000):
+                await asyncio.sleep(0)
+            return kept, handler.pieces
+
+        kept, pieces = asyncio.run(play())
+        assert kept <= 2 * MAX_WAITING_BYTES
+        assert pieces == 1000
+
+    def test_100_continue_waits_for_the_earlier_replies(self):
+        async def play():
+            handler = Handler()
+            _, side = server(handler, pipelined=4)
+            head = (
+                b'POST /b HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n'
+                b'content-length: 2\r\n\r\n'
+            )
+            early = await side.feed(get('/a') + head)
+            handler.answer('/a')
+            written = await side.feed(b'')
+            handler.answer('/b')
+            return early, written, await side.feed(b'hi')
+
+        early, written, ended = asyncio.run(play())
+        assert early == b''
+        assert written.endswith(b'/aHTTP/1.1 100 Continue\r\n\r\n')
+        assert ended.endswith(b'/b')
+
+
 class TestTimeLimits:
     def test_an_idle_connection_is_closed_after_the_idle_time(self):
         async def play():
