--- a/papayalock/control/group.py
+++ b/papayalock/control/group.py
@@ -147,6 +147,12 @@
                 )
             await asyncio.sleep(READ_POLL_S)
 
+    def transfer_lead(self, name: str) -> bool:
+        """Asks another control VM to take over the lead; returns whether."""
+        asked = self.replica.transfer_lead(name)
+        self._wake()
+        return asked
+
     # The task of run().
 
     async def run(self) -> None:
--- a/papayalock/control/httpprotocol.py
+++ b/papayalock/control/httpprotocol.py
@@ -1,9 +1,12 @@
-"""uvicorn's HTTP protocol, with limits on the head of a request."""
+"""uvicorn's server and HTTP protocol, with limits on the head of a request."""
 
 import asyncio
+import contextlib
 import logging
+from collections.abc import Iterator
 from typing import Any
 
+import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from papayalock.core.framing import FramingLimit
@@ -15,6 +18,15 @@
 HEAD_TIMEOUT_S = 10.0
 
 
+class HttpServer(uvicorn.Server):
+    """A uvicorn server that leaves the signals to its owner."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Installs no signal handlers."""
+        yield
+
+
 class LimitedHttpProtocol(HttpToolsProtocol):
     """Closes a connection whose request has a head without end.
 
--- a/papayalock/control/main.py
+++ b/papayalock/control/main.py
@@ -12,7 +12,7 @@
 from aioprometheus import Registry
 
 from papayalock.clock import SystemClock
-from papayalock.control import heap, listeners
+from papayalock.control import departure, heap, httpprotocol, listeners
 from papayalock.control.anyzone import AnyZoneDistributor
 from papayalock.control.coordinator import Coordinator, claims_group_name
 from papayalock.control.disk import FileDisk
@@ -20,7 +20,6 @@
 from papayalock.control.endpointsync import EndpointSync
 from papayalock.control.group import CONFIG_GROUP, RaftGroup
 from papayalock.control.groupfactory import make_group
-from papayalock.control.httpprotocol import LimitedHttpProtocol
 from papayalock.control.identity import Identity, load_or_create_identity
 from papayalock.control.memberfactory import (
     make_member_manager,
@@ -140,6 +139,11 @@
         self.member_manager = make_member_manager(
             settings, self.coordinator, self.pool
         )
+        self._departure = departure.Departure(
+            self.coordinator,
+            self.member_manager,
+            manages_members=settings.control.auto_members,
+        )
         self.rollouts = RolloutManager(
             self.coordinator,
             self._clock,
@@ -177,11 +181,16 @@
             timeout_graceful_shutdown=STOP_TIMEOUT_S,
             timeout_keep_alive=60,
             ws='none',
-            http=LimitedHttpProtocol,
+            http=httpprotocol.LimitedHttpProtocol,
         )
-        self._http_server = uvicorn.Server(cfg)
+        self._http_server = httpprotocol.HttpServer(cfg)
         servers = await self._listen(host)
+        stopper = asyncio.create_task(
+            departure.stop_at_signal(self._http_server, self._departure)
+        )
+        stopper.add_done_callback(self._on_task_done)
         await self._http_server.serve()
+        stopper.cancel()
         for server in servers:
             server.close()
         for task in tasks:
--- a/papayalock/control/membermanager.py
+++ b/papayalock/control/membermanager.py
@@ -13,7 +13,13 @@
 )
 from papayalock.core.raft import Replica
 from papayalock.httpclient import TransportError
-from papayalock.messages import JoinReq, JoinRes, Member
+from papayalock.messages import (
+    JoinReq,
+    JoinRes,
+    LeaveReq,
+    LeaveRes,
+    Member,
+)
 from papayalock.pool import Pool, json_request
 from papayalock.result import Code, PapayalockError
 
@@ -23,6 +29,7 @@
 TICK_S = 0.1
 JOIN_INTERVAL_S = 0.3  # between join requests while no leader is known
 JOIN_REQUEST_TTL_S = 2.0  # age from which the leader ignores a join request
+LEAVE_REQUEST_TTL_S = 3.0  # longer than a VM that stopped looks responsive
 JOIN_TIMEOUT_MS = 500
 MAX_RESPONSE_BYTES = 65536
 _JOIN_RES = msgspec.json.Decoder(JoinRes)
@@ -31,8 +38,8 @@
 class MemberManager:
     """Maintains the member set of the config group without an operator.
 
-    A control VM that no leader contacts, or whose availability zone is not
-    recorded, asks the others to add it. The leader collects these join
+    A control VM that has just started, that no leader contacts, or whose
+    availability zone is not recorded, asks the others to add it. The leader collects these join
     requests, and proposes one member change at a time as its
     :class:`MemberPolicy` decides.
     """
@@ -56,8 +63,10 @@
         self._join_req = join_req
         self._pool = pool
         self._joiners: dict[str, tuple[JoinReq, float]] = {}
+        self._leavers: dict[str, float] = {}
         self._next_join = 0.0
         self._join_count = 0
+        self._announced = False
         self._logged_shortfall = 0
 
     @property
@@ -82,6 +91,7 @@
                 await self._maintain_members()
             else:
                 self._joiners.clear()
+                self._leavers.clear()
                 await self._join()
 
     async def handle_join(self, req: JoinReq, *, forwarded: bool) -> JoinRes:
@@ -93,12 +103,46 @@
         coordinator = self._coordinator
         if coordinator.config_group.replica.is_leader:
             self._joiners[req.member] = (req, coordinator.now())
+            self._leavers.pop(req.member, None)
             return JoinRes(members=coordinator.config_group.replica.log.members)
         res = await coordinator.send_to_leader(
             '/v1/join', req, forwarded=forwarded
         )
         return msgspec.convert(res, JoinRes)
 
+    async def handle_leave(self, req: LeaveReq, *, forwarded: bool) -> LeaveRes:
+        """Records that a VM is about to stop, here or through the leader.
+
+        The VM repeats its request until it may stop.
+
+        :raises PapayalockError: when no leader responded
+        """
+        if not self._replica.is_leader:
+            res = await self._coordinator.send_to_leader(
+                '/v1/leave', req, forwarded=forwarded
+            )
+            return msgspec.convert(res, LeaveRes)
+        now = self._coordinator.now()
+        self._leavers[req.member] = now
+        settled = self._replica.can_change_members()
+        may_stop = self.policy.may_stop(self._view(now), req.member)
+        return LeaveRes(done=settled and may_stop)
+
+    def hand_over_lead(self) -> bool:
+        """Takes a step towards another leader, as this VM is about to stop.
+
+        :returns: whether this VM may stop as the leader
+        """
+        now = self._coordinator.now()
+        self._leavers[self._replica.cfg.name] = now
+        view = self._view(now)
+        if self.policy.awaits_successor(view):
+            return False
+        successor = self.policy.next_leader(view)
+        if successor:
+            self._coordinator.config_group.transfer_lead(successor)
+        return not successor
+
     async def _maintain_members(self) -> None:
         replica = self._replica
         now = self._coordinator.now()
@@ -150,11 +194,20 @@
             name: MemberProgress(
                 unresponsive_s=now
                 - max(progress.acked_sent_at, replica.elected_at),
-                lag_entries=last - progress.match_index,
+                lag_entries=last - progress.match_index
+                if progress.match_index
+                else float('inf'),
             )
             for name, progress in replica.peers.items()
         }
-        return MemberView(replica.cfg.name, replica.log.members, progress)
+        leaving = frozenset(
+            name
+            for name, at in self._leavers.items()
+            if now - at < LEAVE_REQUEST_TTL_S
+        )
+        return MemberView(
+            replica.cfg.name, replica.log.members, progress, leaving
+        )
 
     async def _join(self) -> None:
         """Asks one of the other VMs in turn to join, unless that is done."""
@@ -170,7 +223,8 @@
     def _must_join(self, now: float) -> bool:
         own = self._replica.own_member
         recorded = own is not None and own.zone == self._join_req.zone
-        return not (recorded and self._replica.hears_leader(now))
+        known = recorded and self._replica.hears_leader(now)
+        return not (known and self._announced)
 
     async def _ask(self, address: str) -> None:
         body = msgspec.json.encode(self._join_req)
@@ -187,6 +241,7 @@
             )
             return
         if status == OK:
+            self._announced = True
             self._coordinator.update_addresses(_JOIN_RES.decode(res).members)
 
     def _targets(self, members: list[Member]) -> list[str]:
--- a/papayalock/control/server.py
+++ b/papayalock/control/server.py
@@ -31,6 +31,7 @@
     Claim,
     Finish,
     JoinReq,
+    LeaveReq,
     PeerMessage,
     Publish,
     PublishRes,
@@ -103,6 +104,7 @@
             '/v1/revise': self._publish,
             '/v1/read-index': self._read_index,
             '/v1/join': self._join,
+            '/v1/leave': self._leave,
             **self._rollouts.posts,
         }
         status_paths = [f'{API_PREFIX}{name}' for name in self._status.readers]
@@ -201,6 +203,14 @@
             )
         )
 
+    async def _leave(self, request: Request) -> Response:
+        req = await decode_body(request, msgspec.json.Decoder(LeaveReq))
+        return json_response(
+            await self._member_manager.handle_leave(
+                req, forwarded=is_forwarded(request)
+            )
+        )
+
     async def _put_routes(self, request: Request) -> Response:
         try:
             res = await self._publish_routes(await read_body(request))
--- a/papayalock/core/election.py
+++ b/papayalock/core/election.py
@@ -15,7 +15,30 @@
         elif now >= self._next_heartbeat_at:
             self._broadcast(now)
 
-    def _start_election(self, now: float, *, pre_vote: bool) -> None:
+    def transfer_lead(self, name: str) -> bool:
+        """Asks a voter to take over the lead, if its log is complete.
+
+        It then starts an election at once. This replica leads until it hears
+        of the new term, so nothing is lost when the voter does not take over.
+
+        :returns: whether it was asked
+        """
+        progress = self.peers.get(name)
+        complete = (
+            progress is not None and progress.match_index == self.log.last_index
+        )
+        if not (self.is_leader and complete and self._is_voter(name)):
+            return False
+        self._send(name, 'timeout_now')
+        return True
+
+    def _on_timeout_now(self, msg: PeerMessage, now: float) -> None:
+        if msg.term == self.term and self.leader == msg.sender:
+            self._start_election(now, pre_vote=False, transfer=True)
+
+    def _start_election(
+        self, now: float, *, pre_vote: bool, transfer: bool = False
+    ) -> None:
         self._reset_election_timer(now)
         if not self._is_voter(self.cfg.name):
             return
@@ -39,6 +62,7 @@
                     term=term,
                     index=self.log.last_index,
                     log_term=self.log.last_term,
+                    transfer=transfer,
                 )
 
     def _count_votes(self, now: float) -> bool:
--- a/papayalock/core/memberpolicy.py
+++ b/papayalock/core/memberpolicy.py
@@ -1,7 +1,8 @@
 """Decides how the set of control VMs changes without an operator.
 
 The load that it answers: control VMs that are lost, one or several at a time
-as far as the settings ask, return with an empty disk, or are replaced.
+as far as the settings ask, return with an empty disk, are stopped, or are
+replaced.
 """
 
 from collections.abc import Iterable
@@ -18,10 +19,13 @@
 
 @dataclass(slots=True, frozen=True)
 class MemberProgress:
-    """A member's replication progress as the leader sees it."""
+    """A member's replication progress as the leader sees it.
+
+    ``lag_entries`` is infinite until the member has responded to this leader.
+    """
 
     unresponsive_s: float
-    lag_entries: int
+    lag_entries: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,6 +35,7 @@
     leader: str
     members: list[Member]
     progress: dict[str, MemberProgress]
+    leaving: frozenset[str] = frozenset()  # names of VMs that are to stop
 
     @property
     def voters(self) -> list[Member]:
@@ -95,6 +100,35 @@
         changes = (decide(view) for decide in decisions)
         return next(filter(None, changes), None)
 
+    def may_stop(self, view: MemberView, name: str) -> bool:
+        """Whether a VM that is to stop has no vote, or nobody can take it."""
+        if all(vm.member != name for vm in view.voters):
+            return True
+        return not self.awaits_successor(view) and not self._has_surplus(view)
+
+    def awaits_successor(self, view: MemberView) -> bool:
+        """Whether a learner may soon take the vote of a voter that leaves."""
+        if len(self._sound_voters(view)) >= self._size(view):
+            return False
+        return any(
+            vm.member not in view.leaving
+            and view.silence_s(vm) < self._unresponsive_s
+            for vm in view.learners
+        )
+
+    def next_leader(self, view: MemberView) -> str:
+        """Returns the voter to take over from a leader that stops, or ''."""
+        followers = [
+            vm.member
+            for vm in self._sound_voters(view)
+            if vm.member != view.leader
+        ]
+        return min(
+            followers,
+            key=lambda name: view.progress[name].lag_entries,
+            default='',
+        )
+
     def shortfall(self, view: MemberView) -> int:
         """Returns how many voters a majority lacks after tolerated losses."""
         return self._tolerance.shortfall(self._sound_voters(view))
@@ -112,15 +146,22 @@
         return None
 
     def _removal(self, view: MemberView) -> SetMember | None:
-        """Removes an unsound voter once its successor votes."""
-        if len(view.voters) <= self._size(view):
+        """Takes the vote of an unsound voter once its successor has one.
+
+        A VM that leaves stays a member, as it may be back soon.
+        """
+        if not self._has_surplus(view):
             return None
         sound = {vm.member for vm in self._sound_voters(view)}
         for vm in view.voters:
             if vm.member not in sound and vm.member != view.leader:
-                return _change('remove', vm)
+                leaves = vm.member in view.leaving
+                return _change('demote' if leaves else 'remove', vm)
         return None
 
+    def _has_surplus(self, view: MemberView) -> bool:
+        return len(view.voters) > self._size(view)
+
     def _promotion(self, view: MemberView) -> SetMember | None:
         sound = self._sound_voters(view)
         ready = self._ready_learners(view)
@@ -184,7 +225,11 @@
         return min(self._voters, max(odd, MIN_VOTERS))
 
     def _ready_learners(self, view: MemberView) -> list[Member]:
-        return [vm for vm in view.learners if self._is_ready(view, vm)]
+        return [
+            vm
+            for vm in view.learners
+            if vm.member not in view.leaving and self._is_ready(view, vm)
+        ]
 
     def _is_ready(self, view: MemberView, vm: Member) -> bool:
         vm_progress = view.progress.get(vm.member)
@@ -200,7 +245,8 @@
         return [
             vm
             for vm in view.voters
-            if view.silence_s(vm) < self._unresponsive_s
+            if vm.member not in view.leaving
+            and view.silence_s(vm) < self._unresponsive_s
             and not _lost_its_disk(view, vm)
         ]
 
@@ -213,7 +259,7 @@
     return any(
         vm.address == voter.address
         and view.silence_s(vm) < view.silence_s(voter)
-        for vm in view.learners
+        for vm in view.members
     )
 
 
--- a/papayalock/core/raft.py
+++ b/papayalock/core/raft.py
@@ -70,7 +70,8 @@
         """Handles a message of another replica.
 
         A vote request is ignored while the leader is live, so that a replica
-        that returns from a partition does not depose it.
+        that returns from a partition does not depose it, unless that leader
+        asked the candidate to take over.
         """
         if msg.receiver != self.cfg.name or msg.group != self.cfg.group:
             return
@@ -82,6 +83,7 @@
     def _is_disruptive(self, msg: PeerMessage, now: float) -> bool:
         return (
             msg.kind == 'vote'
+            and not msg.transfer
             and msg.term > self.term
             and self._leader_is_live(now)
         )
@@ -89,12 +91,16 @@
     def _dispatch(self, msg: PeerMessage, now: float) -> None:
         if msg.term > self.term and msg.kind != 'pre_vote_res':
             self._become_follower(msg.term, now)
-        if msg.kind == 'vote':
-            self._on_vote(msg, now)
-        elif msg.kind in {'pre_vote_res', 'vote_res'}:
-            self._on_vote_response(msg, now)
-        elif msg.kind == 'append_res':
-            self._on_append_response(msg, now)
+        handlers = {
+            'vote': self._on_vote,
+            'pre_vote_res': self._on_vote_response,
+            'vote_res': self._on_vote_response,
+            'append_res': self._on_append_response,
+            'timeout_now': self._on_timeout_now,
+        }
+        handler = handlers.get(msg.kind)
+        if handler is not None:
+            handler(msg, now)
         elif msg.term < self.term:
             self._reject_append(msg)
         else:
--- a/papayalock/core/replica.py
+++ b/papayalock/core/replica.py
@@ -18,6 +18,7 @@
     'append',
     'append_res',
     'snapshot',
+    'timeout_now',
 ]
 
 
--- a/papayalock/messages.py
+++ b/papayalock/messages.py
@@ -587,6 +587,27 @@
     zone: Annotated[str, Meta(max_length=64)]
 
 
+class LeaveReq(Struct):
+    """
+    Request of a control VM that is about to stop to hand over its vote.
+    """
+
+    member: Annotated[str, Meta(max_length=64, min_length=1)]
+
+
+class LeaveRes(Struct):
+    """
+    Response to a request to leave.
+    """
+
+    done: Annotated[
+        bool,
+        Meta(
+            description='Whether the control VM may stop: it has no vote, or nobody can take it.'
+        ),
+    ]
+
+
 class HopOrder(Struct):
     """
     Instructions from the calling node to the node in front of a backend server.
@@ -1080,6 +1101,7 @@
         'append',
         'append_res',
         'snapshot',
+        'timeout_now',
     ]
     sender: str
     receiver: str
@@ -1090,6 +1112,9 @@
     ] = 0
     log_term: int = 0
     granted: bool = False
+    transfer: Annotated[
+        bool, Meta(description='Whether the leader asked the candidate to take over.')
+    ] = False
     commit: int = 0
     entries: list[Entry] = field(default_factory=list)
     round: Annotated[
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -22,7 +22,7 @@
 from papayalock.node.outbound import OutboundProxy
 from papayalock.node.pools import NodePools
 from papayalock.node.runstats import RunStats
-from papayalock.node.shutdown import Shutdown, install_stop_signals
+from papayalock.node.shutdown import Shutdown
 from papayalock.node.slotqueue import SlotQueue
 from papayalock.settings import Settings
 
@@ -181,7 +181,7 @@
 
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT, then stops gracefully."""
-        stop = install_stop_signals()
+        stop = self.shutdown.install_signals()
         listeners = await self._listen()
         tasks = [
             asyncio.create_task(self.agent.run()),
--- a/papayalock/node/shutdown.py
+++ b/papayalock/node/shutdown.py
@@ -6,13 +6,13 @@
 import asyncio
 import contextlib
 import logging
-import signal
 
 from papayalock.core.shutdowntimes import ShutdownTimes
 from papayalock.node.hostagent import HostAgent
 from papayalock.node.listener import HttpServer
 from papayalock.node.outbound import OutboundProxy
 from papayalock.ports import Clock
+from papayalock.stopsignals import install_stop_signals
 
 log = logging.getLogger(__name__)
 
@@ -21,15 +21,6 @@
 LAST_REPLIES_S = 0.1  # for the replies to calls that came just before the end
 
 
-def install_stop_signals() -> asyncio.Event:
-    """Handles SIGTERM and SIGINT; returns an event that they set."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stop.set)
-    return stop
-
-
 class Shutdown:
     """Drains a node, then closes it within a grace time."""
 
@@ -54,6 +45,10 @@
         self._shutdown_times = shutdown_times
         self._clock = clock
 
+    def install_signals(self) -> asyncio.Event:
+        """Handles the signals to stop; returns an event that they set."""
+        return install_stop_signals()
+
     async def run(
         self,
         grace_s: float,
--- a/test/test_memberpolicy.py
+++ b/test/test_memberpolicy.py
@@ -81,7 +81,6 @@
         progress = {'b2': HEALTHY, 'c3': JUST_LOST, 'c3-new': HEALTHY}
         assert change(current, progress) == ('promote', 'c3-new')
         current[-1].voter = True
-        progress['c3'] = UNRESPONSIVE
         assert change(current, progress) == ('remove', 'c3')
 
     # A learner of an earlier loss at the address of a voter that is well.
--- a/test/test_voterspread.py
+++ b/test/test_voterspread.py
@@ -2,10 +2,12 @@
 
 import itertools
 import random
+from collections.abc import Callable
 
 import pytest
 
 from papayalock.commands import encode_command
+from papayalock.control.membermanager import LEAVE_REQUEST_TTL_S
 from papayalock.core.memberpolicy import (
     MemberPolicy,
     MemberProgress,
@@ -16,6 +18,7 @@
 from test.cluster import Cluster, MemoryDisk
 
 SILENT_S = 2.5
+ELECTION_S = 0.3  # the shortest election timeout of the cluster
 TICK_STEPS = 10  # steps of the cluster between two decisions of the leader
 
 
@@ -62,7 +65,8 @@
         self.policy = MemberPolicy(3, SILENT_S, tolerance)
         self.tolerance = tolerance
         self.steps = 0
-        self.fewest_survived = 0
+        self.leavers: dict[str, float] = {}
+        self.on_step: Callable[[], None] = lambda: None
         founders = dict.fromkeys(list(self.zone_of)[:3], '')
         super().__init__(founders, seed)
         for name in list(self.zone_of)[3:]:
@@ -85,6 +89,7 @@
     def step(self) -> None:
         super().step()
         self.steps += 1
+        self.on_step()
         if self.steps % TICK_STEPS == 0:
             self.maintain()
 
@@ -93,11 +98,54 @@
         progress = {
             name: MemberProgress(
                 self.now - max(peer.acked_sent_at, replica.elected_at),
-                replica.log.last_index - peer.match_index,
+                replica.log.last_index - peer.match_index
+                if peer.match_index
+                else float('inf'),
             )
             for name, peer in replica.peers.items()
         }
-        return MemberView(replica.cfg.name, replica.log.members, progress)
+        return MemberView(
+            replica.cfg.name,
+            replica.log.members,
+            progress,
+            frozenset(
+                name
+                for name, at in self.leavers.items()
+                if self.now - at < LEAVE_REQUEST_TTL_S
+            ),
+        )
+
+    def stop(self, *names: str, seconds: float = 2.0) -> None:
+        """Ends VMs as planned: each hands over, or its time is up."""
+        leaving = set(names)
+        until = self.now + seconds
+        while leaving and self.now < until:
+            self.leavers.update(dict.fromkeys(leaving, self.now))
+            self.run(0.1)
+            for name in sorted(leaving):
+                if self.may_stop(name):
+                    self.crash(name)
+                    leaving.discard(name)
+        for name in leaving:
+            self.crash(name)
+
+    def return_vm(self, name: str) -> None:
+        """Starts a VM again with its disk; its join request tells that."""
+        self.start(name)
+        self.leavers.pop(name, None)
+
+    def may_stop(self, name: str) -> bool:
+        leader = self.leader()
+        if leader is None:
+            return False
+        view = self.view()
+        if view.leader != name:
+            settled = leader.replica.can_change_members()
+            return settled and self.policy.may_stop(view, name)
+        if self.policy.awaits_successor(view):
+            return False
+        leader.replica.transfer_lead(self.policy.next_leader(view))
+        return False
 
     def maintain(self) -> None:
         leader = self.leader()
@@ -190,3 +238,113 @@
                 assert best is None or shortfall <= best
                 best = shortfall
             assert best == 0
+
+
+class TestPlannedStops:
+    """Control VMs that are stopped hand over their votes and the lead."""
+
+    ZONES = ['a', 'b', 'c', 'd']
+
+    # The successor had caught up, but the vote ended with the VM that left.
+    @pytest.mark.parametrize('seed', range(5))
+    def test_a_lost_disk_after_each_of_three_replacements(self, seed):
+        cluster = ManagedCluster(self.ZONES[:3], Tolerance(vms=1), seed)
+        cluster.run(2.0)
+        for name in ('vm0', 'vm1', 'vm2'):
+            cluster.zone_of[f'{name}-new'] = cluster.zone_of[name]
+            cluster.join(f'{name}-new')
+            cluster.run(6.0)
+            cluster.stop(name)
+            cluster.run(0.5)
+            lost = next(
+                vm.member
+                for vm in cluster.voters()
+                if vm.member != f'{name}-new'
+            )
+            back = cluster.lose_disk(lost)
+            cluster.run(0.8)
+            cluster.join(back)
+            assert cluster.can_commit()
+            cluster.run(4.0)
+            names = {vm.member for vm in cluster.voters()}
+            assert len(names) == 3
+            assert names <= set(cluster.peers)
+
+    def test_a_leader_hands_over_without_a_gap(self):
+        cluster = ManagedCluster(self.ZONES, Tolerance(vms=1), 1)
+        cluster.run(4.0)
+        old = cluster.leader().replica
+        gap_s = []
+        live = cluster.now
+
+        def watch() -> None:
+            nonlocal live
+            if cluster.leader() is not None:
+                gap_s.append(cluster.now - live)
+                live = cluster.now
+
+        cluster.on_step = watch
+        cluster.stop(old.cfg.name)
+        assert cluster.leader().replica.cfg.name != old.cfg.name
+        assert max(gap_s) < ELECTION_S
+        assert len(cluster.voters()) == 3
+        assert old.cfg.name not in {vm.member for vm in cluster.voters()}
+
+    @pytest.mark.parametrize('seed', range(5))
+    def test_a_roll_over_all_vms_keeps_enough_voters(self, seed):
+        cluster = ManagedCluster(self.ZONES, Tolerance(vms=1, zones=1), seed)
+        cluster.run(4.0)
+        for name in list(cluster.peers):
+            cluster.stop(name)
+            assert len(cluster.voters()) == 3
+            assert all(vm.member in cluster.peers for vm in cluster.voters())
+            cluster.run(0.6)
+            cluster.return_vm(name)
+            cluster.run(2.0)
+        assert cluster.can_commit()
+
+    def test_two_vms_that_stop_at_once_with_the_leader_among_them(self):
+        for seed in range(5):
+            tolerance = Tolerance(vms=2, zones=1)
+            cluster = ManagedCluster(SIX_ZONES * 2, tolerance, seed)
+            cluster.run(6.0)
+            leader = cluster.leader().replica.cfg.name
+            others = [
+                vm.member for vm in cluster.voters() if vm.member != leader
+            ]
+            cluster.stop(leader, others[0])
+            names = {vm.member for vm in cluster.voters()}
+            assert len(names) == 5
+            assert names <= set(cluster.peers)
+
+    def test_a_vote_is_kept_if_nobody_is_ready_for_it(self):
+        cluster = ManagedCluster(self.ZONES[:3], Tolerance(vms=1), 1)
+        cluster.run(2.0)
+        began = cluster.now
+        follower = next(
+            name
+            for name in cluster.peers
+            if name != cluster.leader().replica.cfg.name
+        )
+        cluster.stop(follower)
+        assert cluster.now - began < 0.5
+        assert len(cluster.voters()) == 3
+        cluster.return_vm(follower)
+        assert cluster.can_commit()
+
+    def test_a_vm_killed_in_the_middle_of_its_hand_over(self):
+        for seed in range(5):
+            cluster = ManagedCluster(self.ZONES, Tolerance(vms=1), seed)
+            cluster.run(4.0)
+            leader = cluster.leader().replica.cfg.name
+            cluster.leavers[leader] = cluster.now
+            until = cluster.now + 2.0
+            while len(cluster.voters()) == 3 and cluster.now < until:
+                cluster.run(0.05)
+            assert len(cluster.voters()) == 4
+            cluster.crash(leader)
+            assert cluster.can_commit()
+            cluster.run(SILENT_S)
+            names = {vm.member for vm in cluster.voters()}
+            assert len(names) == 3
+            assert leader not in names
