--- a/papayalock/control/http.py
+++ b/papayalock/control/http.py
@@ -52,17 +52,15 @@
     :raises PapayalockError: ``MESSAGE_TOO_LARGE`` as soon as more than
         ``MAX_BODY_BYTES`` have been read
     """
-    chunks: list[bytes] = []
-    size = 0
+    body = bytearray()
     async for chunk in request.stream():
-        size += len(chunk)
-        if size > MAX_BODY_BYTES:
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
             raise PapayalockError(
                 Code.MESSAGE_TOO_LARGE,
                 f'request body exceeds {MAX_BODY_BYTES} bytes',
             )
-        chunks.append(chunk)
-    return b''.join(chunks)
+    return bytes(body)
 
 
 async def decode_body(
--- a/papayalock/core/buffers.py
+++ b/papayalock/core/buffers.py
@@ -41,3 +41,40 @@
         :param held: its size in bytes
         """
         self.used -= held
+
+
+class BodyBuffer:
+    """Collects one body whose bytes count against a shared memory.
+
+    Pieces are joined as they come: kept one by one, pieces of a few bytes
+    would take many times the memory that is counted.
+    """
+
+    __slots__ = ('_content', '_pool')
+
+    def __init__(self, pool: BufferPool) -> None:
+        """Starts empty."""
+        self._pool = pool
+        self._content = bytearray()
+
+    def __len__(self) -> int:
+        """Returns the number of bytes collected."""
+        return len(self._content)
+
+    def add(self, piece: bytes) -> bool:
+        """Adds a piece, or returns False if there is no room for it."""
+        if not self._pool.grow(len(self._content), len(piece)):
+            return False
+        self._content += piece
+        return True
+
+    def take(self) -> bytes:
+        """Returns the body; the taker gives back its room to the pool."""
+        body = bytes(self._content)
+        self._content = bytearray()
+        return body
+
+    def drop(self) -> None:
+        """Drops what was collected."""
+        self._pool.release(len(self._content))
+        self._content = bytearray()
--- a/papayalock/core/framing.py
+++ b/papayalock/core/framing.py
@@ -7,6 +7,9 @@
 # A body sent in chunks of one byte has five bytes of framing for each.
 FRAMING_BYTES_PER_BODY_BYTE = 8
 
+FIRST_INTERIM = 64  # interim responses to a call that come at any rate
+MAX_INTERIM_PER_S = 200  # twice as many as a node's shortest alive_ms allows
+
 
 class FramingLimit:
     """Counts the bytes received for one message against a limit."""
@@ -40,3 +43,28 @@
         """Whether head, trailers and chunk lines are longer than allowed."""
         allowed = self._limit + self._body * FRAMING_BYTES_PER_BODY_BYTE
         return self._received - self._body > allowed
+
+
+class InterimLimit:
+    """Counts the interim responses to one call against what nodes send.
+
+    A node sends keepalives at a fixed interval while a call runs. More than
+    that, over the time of the call, is no response but bytes without end.
+    """
+
+    __slots__ = ('_count', '_started_at', 'exceeded')
+
+    def __init__(self, now: float) -> None:
+        """Starts a call.
+
+        :param now: monotonic seconds
+        """
+        self._started_at = now
+        self._count = 0
+        self.exceeded = False
+
+    def record(self, now: float) -> None:
+        """Counts one interim response."""
+        self._count += 1
+        allowed = FIRST_INTERIM + MAX_INTERIM_PER_S * (now - self._started_at)
+        self.exceeded = self._count > allowed
--- a/papayalock/httpclient.py
+++ b/papayalock/httpclient.py
@@ -14,9 +14,10 @@
 import httptools
 
 from papayalock.core.buffers import BufferPool
-from papayalock.core.framing import FramingLimit
+from papayalock.core.framing import FramingLimit, InterimLimit
 from papayalock.progress import ProgressTimer
 from papayalock.result import Code
+from papayalock.turns import SlicedFeed, TurnQueue
 
 MS_PER_S = 1000
 PAUSE_BYTES = 65536  # unread body bytes above which reading is paused
@@ -69,6 +70,12 @@
         lines.append(b'content-length: %d\r\n\r\n' % len(self.body))
         return b'\r\n'.join(lines)
 
+    def parts(self) -> list[bytes]:
+        """Returns the request in parts; a large body is not copied."""
+        if len(self.body) > PAUSE_BYTES:
+            return [self.head(), self.body]
+        return [self.head() + self.body]
+
 
 def _wake(waiter: 'asyncio.Future[None] | None') -> None:
     if waiter is not None and not waiter.done():
@@ -122,7 +129,7 @@
         :raises TransportError: when the body is incomplete or exceeds ``limit``
         """
         buffers = self._conn.buffers or BufferPool(limit * 2)
-        pieces = []
+        body = bytearray()
         size = 0
         try:
             while piece := await self.read():
@@ -136,10 +143,45 @@
                         sent=True,
                     )
                 size += len(piece)
-                pieces.append(piece)
+                body += piece
         finally:
             buffers.release(size)
-        return b''.join(pieces)
+        return bytes(body)
+
+
+class UnreadBody:
+    """The part of a body that nobody has read yet; reading pauses over it.
+
+    Pieces are joined as they come: kept one by one, pieces of a few bytes
+    would take many times the memory that is counted.
+    """
+
+    __slots__ = ('_content', '_feed')
+
+    def __init__(self, feed: SlicedFeed) -> None:
+        """Starts empty.
+
+        :param feed: paused while much is unread
+        """
+        self._feed = feed
+        self._content = bytearray()
+
+    def __len__(self) -> int:
+        """Returns the number of unread bytes."""
+        return len(self._content)
+
+    def add(self, piece: bytes) -> None:
+        """Adds a piece of the body."""
+        self._content += piece
+        if len(self._content) > PAUSE_BYTES and not self._feed.paused:
+            self._feed.pause()
+
+    def take(self) -> bytes:
+        """Returns all that is unread."""
+        body = bytes(self._content)
+        self._content = bytearray()
+        self._feed.resume()
+        return body
 
 
 def _content_length(headers: Headers) -> int | None:
@@ -156,11 +198,13 @@
         self,
         buffers: BufferPool | None = None,
         on_written: OnWritten = ignore_written,
+        turns: TurnQueue | None = None,
     ) -> None:
         """Creates a protocol that is not yet connected.
 
         :param buffers: memory that the bodies of responses share with those
             of other connections
+        :param turns: shares the event loop with costly ones of them
         """
         self.buffers = buffers
         self._on_written = on_written
@@ -168,15 +212,16 @@
         self.idle_since = 0.0
         self.used = False  # whether it has carried a call
         self.closed = False
-        self.progress = 0  # number of times that data was received
+        self.progress = 0  # number of times that data was parsed
         # Calls that were refused on it, the latest ones.
         self.refused: deque[str] = deque(maxlen=MAX_REFUSED)
         self._headers: Headers = []
         self._head_bytes = 0
         self._framing = FramingLimit(MAX_HEAD_BYTES)
         self._discarded_bytes = 0
-        self._pieces: deque[bytes] = deque()
-        self._buffered = 0
+        self._interim = InterimLimit(0.0)
+        self._feed = SlicedFeed(self, turns or TurnQueue())
+        self._body = UnreadBody(self._feed)
         self._complete = True
         self._failure: TransportError | None = None
         self._got_continue = False
@@ -184,7 +229,6 @@
         self._waiter: asyncio.Future[None] | None = None
         self._timer = ProgressTimer(lambda: self.progress, self._on_timeout)
         self._sent = False
-        self._paused = False
         self._head_only = False
         self._matches_call: MatchesCall | None = None
         self._on_unresponsive: OnUnresponsive | None = None
@@ -195,7 +239,7 @@
     @property
     def reusable(self) -> bool:
         """Whether another call may use the connection."""
-        return not self.closed and self._complete and not self._pieces
+        return not self.closed and self._complete and not self._body
 
     # Calls
 
@@ -227,7 +271,8 @@
         if expect_continue and req.body:
             await self._send_expect_continue(req)
         else:
-            self._write(req.head() + req.body)
+            for part in req.parts():
+                self._write(part)
             self._sent = True
         while self._response is None:
             await self._wait()
@@ -235,15 +280,12 @@
 
     async def read_piece(self) -> bytes:
         """Returns the next piece of the body, or b'' at its end."""
-        while not self._pieces:
+        while not self._body:
             if self._complete:
                 self._end_call()
                 return b''
             await self._wait()
-        piece = self._pieces.popleft()
-        self._buffered -= len(piece)
-        self._resume_reading()
-        return piece
+        return self._body.take()
 
     def pop_complete_body(self) -> bytes | None:
         """Returns the unread body and ends the call.
@@ -252,10 +294,7 @@
         """
         if not self._complete or self._head_only:
             return None
-        body = b''.join(self._pieces)
-        self._pieces.clear()
-        self._buffered = 0
-        self._resume_reading()
+        body = self._body.take()
         self._end_call()
         return body
 
@@ -266,15 +305,6 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _resume_reading(self) -> None:
-        if (
-            self._paused
-            and self._buffered < PAUSE_BYTES // 2
-            and self.transport is not None
-        ):
-            self._paused = False
-            self.transport.resume_reading()
-
     async def _send_expect_continue(self, req: Request) -> None:
         head_req = Request(
             req.method,
@@ -309,6 +339,7 @@
         self._head_bytes = 0
         self._framing.restart()
         self._discarded_bytes = 0
+        self._interim = InterimLimit(asyncio.get_running_loop().time())
         self.used = True
         self._timer.start(timeout_ms / MS_PER_S)
 
@@ -340,7 +371,7 @@
     def _on_timeout(self) -> None:
         if self._complete:
             return
-        if self._paused:
+        if self._feed.paused:
             self._timer.restart()
             return
         if self._sent and self._on_unresponsive is not None:
@@ -383,9 +414,13 @@
             _wake(self._waiter)
 
     def data_received(self, data: bytes) -> None:
+        """Takes bytes from the network."""
+        self._feed.receive(data)
+
+    def parse(self, data: bytes) -> None:
         """Feeds the parser; closes the connection on bytes outside a call."""
         self.progress += 1
-        if self._complete:
+        if self._complete or self.closed:
             self.close()
             return
         self._framing.record_received(len(data))
@@ -434,6 +469,10 @@
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             self._framing.restart()
+            self._feed.count_event()
+            self._interim.record(asyncio.get_running_loop().time())
+            if self._interim.exceeded:
+                self._fail_response('too many interim responses')
             self._got_continue = self._got_continue or status == CONTINUE
             return
         if self._matches_call is not None and not self._matches_call(
@@ -450,19 +489,12 @@
 
     def on_body(self, body: bytes) -> None:
         """Buffers a piece; pauses reading while the consumer is slow."""
+        self._feed.count_event()
         self._framing.record_body(len(body))
         if self._discarding or self._surplus:
             self._discarded_bytes += len(body)
             return
-        self._pieces.append(body)
-        self._buffered += len(body)
-        if (
-            self._buffered > PAUSE_BYTES
-            and not self._paused
-            and self.transport is not None
-        ):
-            self._paused = True
-            self.transport.pause_reading()
+        self._body.add(body)
 
     def on_message_complete(self) -> None:
         """Marks the response as complete."""
--- a/papayalock/node/hostmain.py
+++ b/papayalock/node/hostmain.py
@@ -129,16 +129,23 @@
             settings.relay.body_bytes,
             settings.relay.connections,
         )
-        self.caller_server = HttpServer(self.outbound.handle, caller_limits)
+        bodies = pools.request_bodies
+        self.caller_server = HttpServer(
+            self.outbound.handle, caller_limits, bodies
+        )
         self.hop_server = HttpServer(
-            self.crashes.exchange_or(self.inbound.handle), internal_limits
+            self.crashes.exchange_or(self.inbound.handle),
+            internal_limits,
+            bodies,
+        )
+        self.ready_server = HttpServer(
+            self._handle_ready, internal_limits, bodies
         )
-        self.ready_server = HttpServer(self._handle_ready, internal_limits)
         self.announce_server = HttpServer(
-            self.announcement_handler.handle, internal_limits
+            self.announcement_handler.handle, internal_limits, bodies
         )
         self.metrics_server = HttpServer(
-            self.crashes.admin_or(self.metrics.handle), internal_limits
+            self.crashes.admin_or(self.metrics.handle), internal_limits, bodies
         )
         self._servers = (
             self.caller_server,
--- a/papayalock/node/listener.py
+++ b/papayalock/node/listener.py
@@ -7,10 +7,12 @@
 
 import httptools
 
+from papayalock.core.buffers import BodyBuffer, BufferPool
 from papayalock.core.framing import FramingLimit
 from papayalock.httpclient import OnWritten, ignore_written
 from papayalock.node.http import Call, Reply
 from papayalock.result import Code
+from papayalock.turns import SlicedFeed, TurnQueue
 
 log = logging.getLogger(__name__)
 
@@ -18,6 +20,7 @@
 HEADER_TIMEOUT_S = 10.0  # until a configuration states another one
 STOP_POLL_S = 0.01
 MAX_WAITING_BYTES = 65536  # of a reply written in pieces behind another one
+BODIES = 32  # of the largest size, for which a server has memory by default
 Handler = Callable[[Call, Reply], Awaitable[None]]
 
 
@@ -55,11 +58,19 @@
 class HttpServer:
     """An HTTP server with its connections."""
 
-    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits,
+        bodies: BufferPool | None = None,
+    ) -> None:
         """Starts without connections.
 
         :param handler: called with each call and the reply to it
+        :param bodies: memory for the bodies of calls, until they are answered
         """
+        self.bodies = bodies or BufferPool(limits.body_bytes * BODIES)
+        self.turns = TurnQueue()
         self.handler = handler
         self.limits = limits
         self.on_written: OnWritten = ignore_written
@@ -222,10 +233,9 @@
         self._head_bytes = 0
         self._head_complete = False
         self._framing = FramingLimit(server.limits.header_bytes)
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = BodyBuffer(server.bodies)
+        self._feed = SlicedFeed(self, server.turns)
         self.replies: deque[PendingReply] = deque()
-        self._paused = False
         self._no_more_calls = False
         self._last_activity = 0.0
         self._writable = asyncio.Event()
@@ -299,6 +309,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the running calls, since their caller disconnected."""
         self._server.conns.discard(self)
+        self._body.drop()
         self._writable.set()
         for pending in self.replies:
             pending.cancel()
@@ -312,6 +323,10 @@
         self._writable.set()
 
     def data_received(self, data: bytes) -> None:
+        """Takes bytes from the network."""
+        self._feed.receive(data)
+
+    def parse(self, data: bytes) -> None:
         """Feeds the parser; unreadable requests are refused."""
         if self._refused or self._no_more_calls:
             return
@@ -339,8 +354,7 @@
         self._head_complete = False
         self._framing = FramingLimit(self._server.limits.header_bytes)
         self._last_activity = asyncio.get_running_loop().time()
-        self._body = []
-        self._body_bytes = 0
+        self._body.drop()
 
     def on_url(self, url: bytes) -> None:
         """Collects the request target."""
@@ -367,39 +381,34 @@
             self._refuse(Code.TOO_LARGE, 'body is too large')
         elif call.header(b'expect').lower() == b'100-continue':
             self._expects_continue = True
-            self._send_continue()
+            self._advance()
 
     def on_body(self, body: bytes) -> None:
         """Collects a piece of the body, within the limits."""
         self._last_activity = asyncio.get_running_loop().time()
-        self._body_bytes += len(body)
+        self._feed.count_event()
         self._framing.record_body(len(body))
-        if self._body_bytes > self._server.limits.body_bytes:
+        if self._refused:
+            return
+        if len(self._body) + len(body) > self._server.limits.body_bytes:
             self._refuse(Code.TOO_LARGE, 'body is too large')
-        else:
-            self._body.append(body)
+        elif not self._body.add(body):
+            self._refuse(Code.SHED, 'no memory for the body')
 
     def on_message_complete(self) -> None:
         """Runs the complete call; reading pauses at the pipelining limit."""
         if self._refused:
             return
-        self._call.body = b''.join(self._body)
-        self._body = []
         self._head_bytes = 0
         self._expects_continue = False
         if self._no_more_calls:
+            self._body.drop()
             return
+        self._call.body = self._body.take()
         self._start(self._call)
         at_limit = len(self.replies) >= self._server.limits.pipelined
-        if at_limit and self.transport is not None and not self._paused:
-            self._paused = True
-            self.transport.pause_reading()
-
-    def _send_continue(self) -> None:
-        """Writes the interim response that a call waits for, in its turn."""
-        if self._expects_continue and not self.replies:
-            self._expects_continue = False
-            self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        if at_limit and not self._feed.paused:
+            self._feed.pause()
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
@@ -417,6 +426,10 @@
             pending.start_writing()
         reply = Reply(pending, call.keep_alive)
         pending.task = asyncio.create_task(self._serve(call, reply, pending))
+        size = len(call.body)
+        pending.task.add_done_callback(
+            lambda _: self._server.bodies.release(size)
+        )
 
     async def _serve(
         self, call: Call, reply: Reply, pending: 'PendingReply'
@@ -447,10 +460,11 @@
                 return
             if self.replies:
                 self.replies[0].start_writing()
-        self._send_continue()
-        if self._paused and len(self.replies) < self._server.limits.pipelined:
-            self._paused = False
-            transport.resume_reading()
+        if self._expects_continue and not self.replies:
+            self._expects_continue = False
+            self.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        if len(self.replies) < self._server.limits.pipelined:
+            self._feed.resume()
         if self._server.stopping and not self.replies and self._no_more_calls:
             transport.close()
 
@@ -458,6 +472,7 @@
         if self._refused:
             return
         self._refused = True
+        self._body.drop()
         pending = PendingReply(self)
         pending.closes_connection = True
         Reply(pending, keep_alive=False).refuse(code, message)
--- a/papayalock/pool.py
+++ b/papayalock/pool.py
@@ -14,6 +14,7 @@
     ignore_written,
 )
 from papayalock.result import Code
+from papayalock.turns import TurnQueue
 
 
 async def connect(
@@ -21,12 +22,14 @@
     timeout_ms: int,
     buffers: BufferPool | None = None,
     on_written: OnWritten = ignore_written,
+    turns: TurnQueue | None = None,
 ) -> ClientConn:
     """Opens a connection.
 
     :param address: IP and port of the server
     :param timeout_ms: maximum time for opening it
     :param buffers: memory for bodies that it shares with other connections
+    :param turns: shares the event loop with costly ones of them
     :raises TransportError: ``NOT_CONNECTED`` when it cannot be opened in time
     """
     host, _, port = address.rpartition(':')
@@ -34,7 +37,7 @@
     try:
         async with asyncio.timeout(timeout_ms / MS_PER_S):
             _, conn = await loop.create_connection(
-                functools.partial(ClientConn, buffers, on_written),
+                functools.partial(ClientConn, buffers, on_written, turns),
                 host,
                 int(port),
             )
@@ -63,6 +66,7 @@
         """
         self.on_written: OnWritten = ignore_written
         self._buffers = buffers
+        self._turns = TurnQueue()
         self._connect_ms = connect_ms
         self._idle_s = idle_ms / MS_PER_S
         self._max_idle = per_address
@@ -83,7 +87,11 @@
                 return conn
             conn.close()
         return await connect(
-            address, self._connect_ms, self._buffers, self.on_written
+            address,
+            self._connect_ms,
+            self._buffers,
+            self.on_written,
+            self._turns,
         )
 
     def release(self, address: str, conn: ClientConn) -> None:
--- a/papayalock/settings.py
+++ b/papayalock/settings.py
@@ -232,6 +232,14 @@
             le=1073741824,
         ),
     ]
+    request_bytes: Annotated[
+        int,
+        Meta(
+            description='Memory for the bodies of requests, until they are answered.',
+            ge=65536,
+            le=1073741824,
+        ),
+    ]
 
 
 class RolloutSettings(Struct):
--- a/test/test_endless.py
+++ b/test/test_endless.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import tracemalloc
 
 import pytest
 import uvicorn
@@ -29,9 +30,17 @@
 from papayalock.node.slotqueue import SlotQueue
 from papayalock.pool import Pool
 from papayalock.result import Code
+from papayalock.turns import SLICE_BYTES
 from test.test_heartbeats import beat
 from test.test_inbound import OK, order
-from test.wires import FakeTransport, FastLoop, LoopClock, client, server
+from test.wires import (
+    FakeTransport,
+    FastLoop,
+    LoopClock,
+    ServerSide,
+    client,
+    server,
+)
 
 GET = Request(b'GET', b'/', [(b'host', b'x')])
 HEAD = b'HTTP/1.1 200 OK\r\npapayalock-call: c\r\n'
@@ -125,11 +134,216 @@
             task = asyncio.create_task(self.exchange(conn))
             await asyncio.sleep(0)
             for _ in range(5_000):
+                await asyncio.sleep(0.1)
                 conn.data_received(b'HTTP/1.1 102 Processing\r\n\r\n')
             conn.data_received(OK)
             return await task
 
-        assert asyncio.run(run()) == b'hi'
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            assert runner.run(run()) == b'hi'
+
+    def test_keepalives_that_were_held_up_do_not_count(self):
+        async def run() -> bytes:
+            conn, _ = client()
+            task = asyncio.create_task(self.exchange(conn))
+            await asyncio.sleep(8.0)
+            conn.data_received(b'HTTP/1.1 102 Processing\r\n\r\n' * 800)
+            await asyncio.sleep(1.0)
+            conn.data_received(OK)
+            return await task
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            assert runner.run(run()) == b'hi'
+
+    # Each interim response started the limit on heads anew.
+    def test_interim_responses_without_end_are_cut_off(self):
+        async def run() -> tuple[int, Code]:
+            conn, transport = client()
+            task = asyncio.create_task(self.exchange(conn))
+            await asyncio.sleep(0)
+            sent = 0
+            while not transport.closed and sent < 10 * self.MOST:
+                conn.data_received(b'HTTP/1.1 102 Processing\r\n\r\n')
+                sent += 27
+            with pytest.raises(TransportError) as caught:
+                await task
+            return sent, caught.value.code
+
+        sent, code = asyncio.run(run())
+        assert sent <= self.MOST
+        assert code == Code.INCOMPLETE_ANSWER
+
+
+TINY_CHUNKS = b'2\r\nxy\r\n' * 40_000
+
+
+class TestTinyChunks:
+    """Bodies in chunks of two bytes, as costly in memory and time as can be."""
+
+    def peak_bytes(self, work) -> int:
+        tracemalloc.start()
+        asyncio.run(work())
+        _, peak = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        return peak - len(TINY_CHUNKS)
+
+    # A bytes object for each chunk took twenty times the memory counted.
+    def test_a_response_takes_the_memory_that_is_counted(self):
+        async def work() -> None:
+            conn, _ = client()
+            task = asyncio.create_task(self.exchange(conn))
+            await asyncio.sleep(0)
+            conn.data_received(CHUNKED)
+            for start in range(0, len(TINY_CHUNKS), 28):
+                conn.data_received(TINY_CHUNKS[start : start + 28])
+                await asyncio.sleep(0)
+            conn.data_received(b'0\r\n\r\n')
+            assert len(await task) == 80_000
+
+        assert self.peak_bytes(work) < 4 * 80_000
+
+    async def exchange(self, conn) -> bytes:
+        response = await conn.call(GET, 10_000)
+        return await response.read_all(1_000_000)
+
+    def test_a_request_takes_the_memory_that_is_counted(self):
+        async def work() -> None:
+            taken = []
+
+            async def handler(call: Call, reply) -> None:
+                taken.append(len(call.body))
+
+            _, side = server(handler, body_bytes=1_000_000)
+            side.conn.data_received(TestCallerHead.CHUNKED)
+            for start in range(0, len(TINY_CHUNKS), 28):
+                side.conn.data_received(TINY_CHUNKS[start : start + 28])
+            side.conn.data_received(b'0\r\n\r\n')
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert taken == [80_000]
+
+        assert self.peak_bytes(work) < 4 * 80_000
+
+    # Sixty such connections kept the event loop busy for seconds.
+    def test_many_connections_share_the_loop_with_others(self):
+        async def run() -> tuple[int, list[int]]:
+            conns = []
+            listening = None
+            for _ in range(60):
+                if listening is None:
+                    listening, side = server(
+                        None, body_bytes=1_000_000, connections=100
+                    )
+                else:
+                    side = ServerSide(listening)
+                side.conn.data_received(TestCallerHead.CHUNKED)
+                conns.append(side.conn)
+
+            def taken() -> int:
+                return listening.bodies.used
+
+            for conn in conns:
+                conn.data_received(TINY_CHUNKS[: 7 * 5_000])
+            first = taken()
+            steps = []
+            for _ in range(400):
+                before = taken()
+                await asyncio.sleep(0.001)
+                steps.append(taken() - before)
+            return first, steps
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            first, steps = runner.run(run())
+        slice_bytes = SLICE_BYTES // 7 * 2 + 2
+        assert first <= 60 * slice_bytes
+        assert sum(steps) > 0
+        assert max(steps) <= 2 * slice_bytes
+
+    def test_a_costly_body_is_complete_in_the_end(self):
+        async def run() -> tuple[int, bool]:
+            conn, transport = client()
+            task = asyncio.create_task(self.exchange(conn))
+            await asyncio.sleep(0)
+            conn.data_received(CHUNKED + TINY_CHUNKS + b'0\r\n\r\n')
+            paused = transport.paused
+            return len(await task), paused
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            assert runner.run(run()) == (80_000, True)
+
+    def test_a_call_whose_bytes_wait_for_their_turn_is_not_silent(self):
+        async def run() -> tuple[int, int]:
+            conn, _ = client()
+            silent = []
+            call = conn.call(GET, 20, on_unresponsive=lambda: silent.append(1))
+            task = asyncio.create_task(self.read(call))
+            await asyncio.sleep(0)
+            conn.data_received(CHUNKED + TINY_CHUNKS + b'0\r\n\r\n')
+            return len(await task), len(silent)
+
+        with asyncio.Runner(loop_factory=FastLoop) as runner:
+            assert runner.run(run()) == (80_000, 0)
+
+    async def read(self, call) -> bytes:
+        response = await call
+        return await response.read_all(1_000_000)
+
+    def test_a_large_plain_body_is_taken_at_once(self):
+        async def run() -> int:
+            conn, _ = client()
+            task = asyncio.create_task(self.exchange(conn))
+            await asyncio.sleep(0)
+            body = b'x' * 200_000
+            head = HEAD + b'content-length: 200000\r\n\r\n'
+            conn.data_received(head + body)
+            assert conn.reusable is False
+            await asyncio.sleep(0)
+            return len(await task)
+
+        assert asyncio.run(run()) == 200_000
+
+
+class TestRequestBodies:
+    """The bodies that callers send share the memory of a process."""
+
+    HEAD = b'POST /%d HTTP/1.1\r\nhost: a\r\ncontent-length: 90000\r\n\r\n'
+
+    async def play(self):
+        done = asyncio.Event()
+
+        async def handler(call: Call, reply) -> None:
+            await done.wait()
+            reply.send(200, [], b'')
+
+        listening, side = server(handler, body_bytes=100_000, connections=9)
+        listening.bodies = BufferPool(300_000)
+        sides = [ServerSide(listening) for _ in range(6)]
+        for at, other in enumerate(sides):
+            await other.feed(self.HEAD % at + b'x' * 90_000)
+        kept = listening.bodies.used
+        done.set()
+        for other in sides:
+            await other.feed(b'')
+        written = [other.transport.written[:12] for other in sides]
+        return kept, listening.bodies.used, written
+
+    # Six bodies of 32 MiB took a node over its memory.
+    def test_those_without_room_are_refused_as_not_run(self):
+        kept, left, written = asyncio.run(self.play())
+        assert kept <= 300_000
+        assert left == 0
+        assert written.count(b'HTTP/1.1 200') == 2
+        assert written.count(b'HTTP/1.1 429') == 4
+
+    def test_a_caller_who_leaves_gives_its_memory_back(self):
+        async def run() -> tuple[int, int]:
+            listening, side = server(None, body_bytes=100_000)
+            await side.feed(self.HEAD % 1 + b'x' * 50_000)
+            held = listening.bodies.used
+            side.conn.connection_lost(None)
+            return held, listening.bodies.used
+
+        assert asyncio.run(run()) == (50_000, 0)
 
 
 class EndlessServer:
