--- a/papayalock/control/departure.py
+++ b/papayalock/control/departure.py
@@ -18,6 +18,9 @@
 log = logging.getLogger(__name__)
 
 HAND_OVER_S = 2.0  # longest time for the hand-over; then the VM stops as it is
+SUCCESSOR_S = (
+    1.0  # of these, longest wait of a leader for a learner to be ready
+)
 POLL_S = 0.05
 
 
@@ -49,7 +52,7 @@
         began = self._coordinator.now()
         done = False
         while not done and self._coordinator.now() - began < HAND_OVER_S:
-            done = await self._step()
+            done = await self._step(self._coordinator.now() - began)
             if not done:
                 await asyncio.sleep(POLL_S)
         own = self._coordinator.config_group.replica.own_member
@@ -65,13 +68,15 @@
         )
         return done
 
-    async def _step(self) -> bool:
+    async def _step(self, elapsed_s: float) -> bool:
         """Takes one step; returns whether this VM may stop."""
         replica = self._coordinator.config_group.replica
         if replica.own_member is None or not self._manages_members:
             return True
         if replica.is_leader:
-            return self._member_manager.hand_over_lead()
+            return self._member_manager.hand_over_lead(
+                waits=elapsed_s < SUCCESSOR_S
+            )
         try:
             async with asyncio.timeout(HAND_OVER_S / 2):
                 res = await self._member_manager.handle_leave(
--- a/papayalock/control/membermanager.py
+++ b/papayalock/control/membermanager.py
@@ -39,9 +39,9 @@
     """Maintains the member set of the config group without an operator.
 
     A control VM that has just started, that no leader contacts, or whose
-    availability zone is not recorded, asks the others to add it. The leader collects these join
-    requests, and proposes one member change at a time as its
-    :class:`MemberPolicy` decides.
+    availability zone is not recorded, asks the others to add it. The leader
+    collects these join requests, and proposes one member change at a time as
+    its :class:`MemberPolicy` decides.
     """
 
     def __init__(
@@ -128,15 +128,16 @@
         may_stop = self.policy.may_stop(self._view(now), req.member)
         return LeaveRes(done=settled and may_stop)
 
-    def hand_over_lead(self) -> bool:
+    def hand_over_lead(self, *, waits: bool) -> bool:
         """Takes a step towards another leader, as this VM is about to stop.
 
+        :param waits: whether to go on leading until a learner has its vote
         :returns: whether this VM may stop as the leader
         """
         now = self._coordinator.now()
         self._leavers[self._replica.cfg.name] = now
         view = self._view(now)
-        if self.policy.awaits_successor(view):
+        if waits and self.policy.awaits_successor(view):
             return False
         successor = self.policy.next_leader(view)
         if successor:
--- a/test/test_membermanager.py
+++ b/test/test_membermanager.py
@@ -252,6 +252,19 @@
         assert early == []
         assert late
 
+    # A learner that never gets ready kept the leader until its time was up.
+    def test_a_leader_hands_over_the_lead_beside_a_learner_that_lags(self):
+        async def play():
+            vm = Vm('a', 'a', learners=('d',))
+            vm.hear_all()
+            vm.replica.log.last_index = 1000
+            vm.coordinator.answers = [{'done': True}]
+            return await vm.departure.run(), vm.coordinator
+
+        done, coordinator = run(play())
+        assert done
+        assert coordinator.config_group.transfers
+
     def test_it_ends_in_time_if_no_leader_answers(self):
         async def play():
             vm = Vm('b', 'a')
