--- a/papayalock/node/listener.py
+++ b/papayalock/node/listener.py
@@ -406,6 +406,7 @@
             return
         self._call.body = self._body.take()
         self._start(self._call)
+        self._call = Call()  # an idle connection keeps no body
         at_limit = len(self.replies) >= self._server.limits.pipelined
         if at_limit and not self._feed.paused:
             self._feed.pause()
--- a/test/test_endless.py
+++ b/test/test_endless.py
@@ -335,6 +335,23 @@
         assert written.count(b'HTTP/1.1 200') == 2
         assert written.count(b'HTTP/1.1 429') == 4
 
+    # Each open connection kept its last body, which nothing counted.
+    def test_an_open_connection_keeps_no_body_that_was_answered(self):
+        async def run() -> int:
+            async def handler(call: Call, reply) -> None:
+                reply.send(200, [], b'')
+
+            _, side = server(handler, body_bytes=2_000_000)
+            head = b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n'
+            tracemalloc.start()
+            await side.feed(head % 1_000_000 + b'x' * 1_000_000)
+            held, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            assert side.transport.written.startswith(b'HTTP/1.1 200')
+            return held
+
+        assert asyncio.run(run()) < 500_000
+
     def test_a_caller_who_leaves_gives_its_memory_back(self):
         async def run() -> tuple[int, int]:
             listening, side = server(None, body_bytes=100_000)
