--- a/test/test_endless.py
+++ b/test/test_endless.py
@@ -59,6 +59,11 @@
 }
 
 
+async def exchange(conn, timeout_ms: int = 10_000, **options) -> bytes:
+    response = await conn.call(GET, timeout_ms, **options)
+    return await response.read_all(1_000_000)
+
+
 class TestResponseHead:
     """How much a client connection takes that is no body."""
 
@@ -73,7 +78,7 @@
 
         async def run() -> tuple[int, Code]:
             conn, transport = client()
-            task = asyncio.create_task(self.exchange(conn))
+            task = asyncio.create_task(exchange(conn))
             await asyncio.sleep(0)
             conn.data_received(start)
             sent = 0
@@ -89,10 +94,6 @@
         assert sent <= self.MOST
         assert code == Code.INCOMPLETE_ANSWER
 
-    async def exchange(self, conn) -> bytes:
-        response = await conn.call(GET, 10_000)
-        return await response.read_all(1_000_000)
-
     def test_responses_of_other_calls_are_discarded_up_to_a_limit(self):
         async def run() -> tuple[int, Code]:
             conn, transport = client()
@@ -116,7 +117,7 @@
     def test_a_body_in_chunks_of_one_byte_is_complete(self):
         async def run() -> int:
             conn, _ = client()
-            task = asyncio.create_task(self.exchange(conn))
+            task = asyncio.create_task(exchange(conn))
             await asyncio.sleep(0)
             conn.data_received(CHUNKED)
             for _ in range(50_000):
@@ -131,7 +132,7 @@
     def test_keepalives_of_a_long_call_do_not_count(self):
         async def run() -> bytes:
             conn, _ = client()
-            task = asyncio.create_task(self.exchange(conn))
+            task = asyncio.create_task(exchange(conn))
             await asyncio.sleep(0)
             for _ in range(5_000):
                 await asyncio.sleep(0.1)
@@ -145,7 +146,7 @@
     def test_keepalives_that_were_held_up_do_not_count(self):
         async def run() -> bytes:
             conn, _ = client()
-            task = asyncio.create_task(self.exchange(conn))
+            task = asyncio.create_task(exchange(conn))
             await asyncio.sleep(8.0)
             conn.data_received(b'HTTP/1.1 102 Processing\r\n\r\n' * 800)
             await asyncio.sleep(1.0)
@@ -159,7 +160,7 @@
     def test_interim_responses_without_end_are_cut_off(self):
         async def run() -> tuple[int, Code]:
             conn, transport = client()
-            task = asyncio.create_task(self.exchange(conn))
+            task = asyncio.create_task(exchange(conn))
             await asyncio.sleep(0)
             sent = 0
             while not transport.closed and sent < 10 * self.MOST:
@@ -191,7 +192,7 @@
     def test_a_response_takes_the_memory_that_is_counted(self):
         async def work() -> None:
             conn, _ = client()
-            task = asyncio.create_task(self.exchange(conn))
+            task = asyncio.create_task(exchange(conn))
             await asyncio.sleep(0)
             conn.data_received(CHUNKED)
             for start in range(0, len(TINY_CHUNKS), 28):
@@ -202,10 +203,6 @@
 
         assert self.peak_bytes(work) < 4 * 80_000
 
-    async def exchange(self, conn) -> bytes:
-        response = await conn.call(GET, 10_000)
-        return await response.read_all(1_000_000)
-
     def test_a_request_takes_the_memory_that_is_counted(self):
         async def work() -> None:
             taken = []
@@ -262,7 +259,7 @@
     def test_a_costly_body_is_complete_in_the_end(self):
         async def run() -> tuple[int, bool]:
             conn, transport = client()
-            task = asyncio.create_task(self.exchange(conn))
+            task = asyncio.create_task(exchange(conn))
             await asyncio.sleep(0)
             conn.data_received(CHUNKED + TINY_CHUNKS + b'0\r\n\r\n')
             paused = transport.paused
@@ -275,8 +272,9 @@
         async def run() -> tuple[int, int]:
             conn, _ = client()
             silent = []
-            call = conn.call(GET, 20, on_unresponsive=lambda: silent.append(1))
-            task = asyncio.create_task(self.read(call))
+            task = asyncio.create_task(
+                exchange(conn, 20, on_unresponsive=lambda: silent.append(1))
+            )
             await asyncio.sleep(0)
             conn.data_received(CHUNKED + TINY_CHUNKS + b'0\r\n\r\n')
             return len(await task), len(silent)
@@ -284,14 +282,10 @@
         with asyncio.Runner(loop_factory=FastLoop) as runner:
             assert runner.run(run()) == (80_000, 0)
 
-    async def read(self, call) -> bytes:
-        response = await call
-        return await response.read_all(1_000_000)
-
     def test_a_large_plain_body_is_taken_at_once(self):
         async def run() -> int:
             conn, _ = client()
-            task = asyncio.create_task(self.exchange(conn))
+            task = asyncio.create_task(exchange(conn))
             await asyncio.sleep(0)
             body = b'x' * 200_000
             head = HEAD + b'content-length: 200000\r\n\r\n'
