--- a/test/test_crashes.py
+++ b/test/test_crashes.py
@@ -232,7 +232,7 @@
         await asyncio.sleep(0.01)
         conns = list(mesh.backends.pop(address).conns)
         for conn in conns if running_ends else conns[:1]:
-            conn.abort()
+            conn.transport.abort()
         await asyncio.gather(*calls)
         return len(mesh.nodes[0].crash_reports.ledger)
 
