--- a/test/hostmesh.py
+++ b/test/hostmesh.py
@@ -303,7 +303,7 @@
         def crash() -> None:
             self.crashed_at.append(loop.time())
             for conn in list(self.backends.pop(address).conns):
-                conn.abort()
+                conn.transport.abort()
             loop.call_later(down_s, come_back)
 
         def come_back() -> None:
